Add the interface between border and proxy

Cause: the border and the proxy are built apart. Change: data classes for a caller's request and reply.

--- a/src/currantlead/interfaces.py
+++ b/src/currantlead/interfaces.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+import enum
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import Any, Protocol
 
@@ -165,3 +166,62 @@
 
     async def admit(self, organisation: str) -> verdict.Refusal | None:
         """Take one token; return a refusal if the organisation is over its rate."""
+
+
+class Action(enum.Enum):
+    """Name what a caller asks for."""
+
+    STATEMENT = "statement"
+    BEGIN = "begin"
+    TRANSACT = "transact"
+    COMMIT = "commit"
+    ROLLBACK = "rollback"
+    OPEN = "open"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """Hold a validated request of a caller; the key itself stays in the border.
+
+    Attributes:
+        request: Request id, unique across VMs.
+        action: What the caller asks for.
+        key_digest: SHA-256 of the caller's key in hexadecimal, or None on open routes.
+        session: Positions of the caller's session token.
+        database: Database of a statement or begin.
+        transaction: Id of an open transaction.
+        route: Name of an open route.
+        sql: Statement text.
+        params: Positional parameters.
+        write: Whether the statement may change data.
+        max_age_s: Accepted age of the data in seconds, or None.
+        idempotency_key: The caller's idempotency key, or None.
+    """
+
+    request: str
+    action: Action
+    key_digest: str | None = None
+    session: Mapping[str, messages.Position] = dataclasses.field(default_factory=dict)
+    database: str = ""
+    transaction: str = ""
+    route: str = ""
+    sql: str = ""
+    params: tuple[Any, ...] = ()
+    write: bool = False
+    max_age_s: float | None = None
+    idempotency_key: str | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerReply:
+    """Hold the outcome of a caller's request and the session's new positions."""
+
+    outcome: Outcome
+    session: Mapping[str, messages.Position]
+
+
+class Proxy(Protocol):
+    """Describe the part that takes a request from identity to its answer."""
+
+    async def handle(self, request: CallerRequest) -> CallerReply:
+        """Serve one request of a caller."""
