--- /dev/null
+++ b/src/currantlead/__main__.py
@@ -0,0 +1,6 @@
+"""Run the command line with ``python -m currantlead``."""
+
+from currantlead import cli
+
+if __name__ == "__main__":
+    cli.main()
--- /dev/null
+++ b/src/currantlead/cli.py
@@ -0,0 +1,46 @@
+"""Command line of currantlead."""
+
+import inspect
+from typing import Annotated, Any
+
+import pydantic
+import typer
+
+from currantlead import daemon, settings
+from currantlead.operators import console
+
+app = typer.Typer(no_args_is_help=True, help="A database proxy with session consistency.")
+
+
+def _serve(**values: Any) -> None:
+    """Run the daemon of an entry VM until SIGTERM."""
+    try:
+        checked = settings.Settings.from_config(values)
+    except pydantic.ValidationError as error:
+        for line in settings.describe_faults(error):
+            typer.echo(f"error: {line}", err=True)
+        raise typer.Exit(2) from None
+    raise typer.Exit(daemon.run(checked))
+
+
+def _serve_signature() -> inspect.Signature:
+    """Build one text option for each setting, so that all faults are reported together."""
+    parameters = []
+    for name, field in settings.Settings.model_fields.items():
+        default = "" if field.is_required() else f" Default: {field.default}."
+        option = typer.Option(settings.flag(name), envvar=settings.variable(name), help=f"{field.description}{default}")
+        annotation = Annotated[str | None, option]
+        kind = inspect.Parameter.KEYWORD_ONLY
+        parameters.append(inspect.Parameter(name, kind, default=None, annotation=annotation))
+    return inspect.Signature(parameters)
+
+
+_serve.__signature__ = _serve_signature()  # type: ignore[attr-defined]
+_serve.__annotations__ = {name: item.annotation for name, item in _serve.__signature__.parameters.items()}
+app.command("serve")(_serve)
+app.command("run")(console.run)
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
--- /dev/null
+++ b/src/currantlead/routing/freshness.py
@@ -0,0 +1,65 @@
+"""Estimate which instances have applied a position.
+
+The estimate only chooses an instance; the instance itself checks each read.
+"""
+
+import dataclasses
+
+from currantlead import messages
+
+PROBE_INTERVAL_S = 0.02
+"""A replica that was behind is tried again after this long, so that a short lag costs few wasted round trips."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Sighting:
+    position: messages.Position
+    behind_at: float | None = None
+
+
+class Freshness:
+    """Remember the newest position that each instance has shown."""
+
+    def __init__(self) -> None:
+        self._sightings: dict[str, _Sighting] = {}
+
+    def record_applied(self, instance: str, position: messages.Position) -> None:
+        """Note that an instance answered a read or write at a position.
+
+        Args:
+            instance: Name of the instance.
+            position: Position that it had applied.
+        """
+        known = self._sightings.get(instance)
+        if known is None or position > known.position:
+            self._sightings[instance] = _Sighting(position)
+        elif known.behind_at is not None:
+            known.behind_at = None
+
+    def record_behind(self, instance: str, position: messages.Position, now: float) -> None:
+        """Note that an instance refused a read because it had only reached a position.
+
+        Args:
+            instance: Name of the instance.
+            position: Position that it had applied.
+            now: Clock reading in seconds.
+        """
+        known = self._sightings.get(instance)
+        newest = position if known is None else max(known.position, position)
+        self._sightings[instance] = _Sighting(newest, behind_at=now)
+
+    def may_serve(self, instance: str, after: messages.Position | None, now: float) -> bool:
+        """Tell whether a read after a position is worth sending to an instance.
+
+        Args:
+            instance: Name of the instance.
+            after: Position that the read needs, or None.
+            now: Clock reading in seconds.
+
+        Returns:
+            False only if the instance was behind a moment ago.
+        """
+        known = self._sightings.get(instance)
+        if known is None or after is None or known.position >= after:
+            return True
+        return known.behind_at is None or now - known.behind_at >= PROBE_INTERVAL_S
