Add the stand-in endpoint and a holder that executes statements

Cause: other parts need a holder and an instance to integrate against.

Fault cases and properties are not tested yet.

--- a/src/currantlead/connections/__init__.py
+++ b/src/currantlead/connections/__init__.py
@@ -1,1 +1,1 @@
-"""Hold connections to endpoint databases and run statements on them."""
+"""Connections to endpoint instances and the execution of statements on them."""
--- /dev/null
+++ b/src/currantlead/connections/turns.py
@@ -0,0 +1,202 @@
+"""One turn of a request at an instance: checks, slot, connection, and the majority afterwards."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import result
+
+from currantlead import interfaces, messages, timers, verdict
+from currantlead.connections import acknowledgement, checks, dispatch, endpoint, places
+
+# An instance that is busy with locks refuses quickly; the statement gives its slot away and waits this long.
+BUSY_PAUSE_S = 0.02
+_AGAIN = (verdict.Reason.NO_CONNECTION, verdict.Reason.UNREACHABLE)
+
+Outcome = result.Result[endpoint.Reply, verdict.Refusal]
+Send = Callable[[endpoint.Connection], Awaitable[Outcome]]
+Silent = Callable[[str, str, int], None]
+
+
+class Turns:
+    """Bring requests to an instance, each in its turn."""
+
+    def __init__(
+        self,
+        directory: interfaces.Directory,
+        rules: checks.Checks,
+        held_places: places.Places,
+        clock: timers.Timers,
+        on_silent: Silent | None,
+    ):
+        self._directory = directory
+        self._rules = rules
+        self._places = held_places
+        self._clock = clock
+        self._on_silent = on_silent
+
+    def left(self, deadline: float) -> float:
+        """Return the seconds left until a deadline."""
+        return max(0.0, deadline - self._clock.now())
+
+    def held(self, database: str, instance: str) -> dispatch.Dispatcher | verdict.Refusal:
+        """Return the dispatcher of an instance, or a refusal if this VM does not hold it."""
+        found = self._places.dispatcher(database, instance)
+        return found or checks.refuse(verdict.Reason.NOT_HOLDER, "this VM does not hold the instance", 0.1)
+
+    def tracker_of(self, database: str, instance: str) -> acknowledgement.Tracker | None:
+        """Return the tracker of a group if the instance is its primary."""
+        group = self._directory.groups.get(database)
+        return self._places.tracker(database) if group is not None and group.primary == instance else None
+
+    def check_work(self, work: messages.Execute) -> verdict.Refusal | None:
+        """Check a statement outside a transaction."""
+        statement = work.statement
+        route_sql = None if statement.write else statement.sql
+        return (
+            self._rules.check_caller(work.caller, statement.database, route_sql)
+            or self._rules.check_place(statement.database, work.instance, work.term, primary=statement.write)
+            or self._rules.check_position(statement.database, statement.after)
+            or self._check_leaving(statement.database, work.instance, statement.write)
+        )
+
+    def check_begin(self, work: messages.Begin) -> verdict.Refusal | None:
+        """Check the opening of a transaction."""
+        return (
+            self._rules.check_caller(work.caller, work.database, None)
+            or self._rules.check_place(work.database, work.instance, work.term, primary=True)
+            or self._rules.check_position(work.database, work.after)
+            or self._check_leaving(work.database, work.instance, True)
+        )
+
+    async def check_majority(self, tracker: acknowledgement.Tracker | None, deadline: float) -> verdict.Refusal | None:
+        """Refuse a write before it is sent if no majority would acknowledge it."""
+        if tracker is None:
+            return checks.refuse(verdict.Reason.NO_PRIMARY, "the database has no primary", 0.5)
+        if await tracker.reachable(timeout_s=min(1.0, self.left(deadline))):
+            return None
+        return checks.refuse(verdict.Reason.NO_MAJORITY, "no majority of the instances is reachable", 0.5)
+
+    async def await_majority(
+        self, tracker: acknowledgement.Tracker | None, term: int, reply: endpoint.Reply, deadline: float
+    ) -> verdict.Refusal | None:
+        """Wait until a majority has what a reply shows.
+
+        A read at the primary waits too: otherwise its session could hold a position that a promotion discards. What a
+        replica has applied, it and the primary have received, which is a majority of three.
+        """
+        if reply.term != term:
+            detail = f"the instance answered in term {reply.term}, not {term}"
+            return verdict.Refusal(verdict.Reason.STALE_TERM, verdict.Verdict.MAY_HAVE_RUN, detail)
+        if tracker is None or (tracker.term == term and await tracker.wait(reply.index, timeout_s=self.left(deadline))):
+            return None
+        detail = "no majority acknowledged in time"
+        return verdict.Refusal(verdict.Reason.NO_MAJORITY, verdict.Verdict.MAY_HAVE_RUN, detail)
+
+    async def min_time(self, work: messages.Execute, deadline: float) -> float | verdict.Refusal | None:
+        """Return the time on the primary's clock that a read with a maximum age must show."""
+        statement = work.statement
+        if statement.max_age_s is None:
+            return None
+        tracker = self.tracker_of(statement.database, work.instance)
+        if tracker is not None:
+            # A primary that lost its group still has a current clock, so its own time proves no age.
+            if await tracker.confirm(statement.max_age_s, timeout_s=min(1.0, self.left(deadline))):
+                return None
+            return checks.refuse(verdict.Reason.NO_MAJORITY, "the primary is not confirmed by a majority", 0.5)
+        clock = self._places.clock(statement.database)
+        bound = await clock.bound(timeout_s=min(1.0, self.left(deadline))) if clock else None
+        if bound is None:
+            return checks.refuse(verdict.Reason.BEHIND, "the primary's clock is unknown", 0.2)
+        return bound - statement.max_age_s
+
+    async def run(
+        self,
+        held: dispatch.Dispatcher,
+        organisation: str,
+        deadline: float,
+        send: Send,
+        kept: list[endpoint.Connection] | None = None,
+    ) -> Outcome:
+        """Wait for a slot and a connection, then send; repeat only what an instance refused as busy.
+
+        Args:
+            held: Dispatcher of the instance.
+            organisation: On whose behalf.
+            deadline: When the sender stops waiting.
+            send: Checks once more and sends on a connection.
+            kept: Connections that ``send`` pins and that are not given back here.
+        """
+
+        async def lend() -> Outcome:
+            acquired = await held.pool.acquire(timeout_s=self.left(deadline))
+            if acquired.is_err():
+                return acquired
+            connection = acquired.ok_value
+            try:
+                return await send(connection)
+            finally:
+                if not kept or connection not in kept:
+                    held.pool.release(connection)
+
+        return await self._repeat(held, organisation, deadline, lend, pinned=False)
+
+    async def run_pinned(
+        self, held: dispatch.Dispatcher, organisation: str, deadline: float, send: Callable[[], Awaitable[Outcome]]
+    ) -> Outcome:
+        """Wait for a slot, then send on the connection of a transaction."""
+        return await self._repeat(held, organisation, deadline, send, pinned=True)
+
+    def report_silence(self, database: str, instance: str, term: int, refusal: verdict.Refusal) -> None:
+        """Tell the monitors if the primary of a group gave no answer."""
+        if refusal.reason not in (verdict.Reason.TIMEOUT, verdict.Reason.UNREACHABLE) or self._on_silent is None:
+            return
+        group = self._directory.groups.get(database)
+        if group is not None and group.primary == instance and group.term == term:
+            self._on_silent(database, instance, term)
+
+    async def _repeat(
+        self,
+        held: dispatch.Dispatcher,
+        organisation: str,
+        deadline: float,
+        step: Callable[[], Awaitable[Outcome]],
+        *,
+        pinned: bool,
+    ) -> Outcome:
+        weight, length, queue_s = self._limits(held.group, organisation)
+        while True:
+            queue_deadline = min(deadline, self._clock.now() + queue_s)
+            refusal = await held.enter(
+                organisation, weight=weight, limit=length, deadline=queue_deadline, pinned=pinned
+            )
+            if refusal is not None:
+                return result.Err(refusal)
+            try:
+                if self.left(deadline) <= 0:
+                    return result.Err(checks.refuse(verdict.Reason.QUEUE_TIMEOUT, "the sender's time is over", 0.1))
+                outcome = await step()
+            finally:
+                held.leave()
+            if outcome.is_ok() or not _may_repeat(outcome.err_value) or self.left(deadline) <= BUSY_PAUSE_S:
+                return outcome
+            await asyncio.sleep(BUSY_PAUSE_S)
+
+    def _limits(self, database: str, organisation: str) -> tuple[float, int, float]:
+        service = self._rules.service(database)
+        found = self._directory.configuration.organisations.get(organisation)
+        weight = found.weight if found else 1.0
+        return (weight, service.queue_length, service.queue_timeout_s) if service else (weight, 0, 0.0)
+
+    def _check_leaving(self, database: str, name: str, write: bool) -> verdict.Refusal | None:
+        group = self._directory.groups.get(database)
+        instance = group.instance(name) if group else None
+        if instance is None or not self._rules.is_leaving(instance):
+            return None
+        held = self._places.dispatcher(database, name)
+        if write and held is not None and held.left_in_service(checks.LEAVING_WRITES_S):
+            return None
+        return checks.refuse(verdict.Reason.LEAVING, f"{name} is leaving", 0.2)
+
+
+def _may_repeat(refusal: verdict.Refusal) -> bool:
+    return refusal.verdict is verdict.Verdict.NOT_RUN and refusal.reason in _AGAIN
--- /dev/null
+++ b/tests/standins/endpoint.py
@@ -0,0 +1,398 @@
+"""Stand-in for an endpoint instance: real SQL on sqlite, terms, and asynchronous replication.
+
+Answers carry the ``X-Request-Id`` of their request. Requests between instances carry the sender's name in ``X-Peer``;
+``cut_from`` drops the requests of the senders that it names, and ``*`` drops all but ``/control``.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import dataclasses
+import json
+import pathlib
+import signal
+import sqlite3
+import time
+from typing import Any
+
+import aiohttp
+from aiohttp import web, web_protocol
+
+from tests.standins import database, replication
+
+# A statement that waits longer for a lock or slot is refused before it runs, so that its sender can give way.
+BUSY_S = 0.1
+
+
+class FaultError(Exception):
+    """Refuse a request before it is executed."""
+
+    def __init__(self, status: int, error: str, **more: Any):
+        super().__init__(error)
+        self.status = status
+        self.body = {"error": error, **more}
+
+
+@dataclasses.dataclass(slots=True)
+class Controls:
+    """Hold the limits and faults that ``POST /control`` changes."""
+
+    slots: int = 5
+    connections: int = 50
+    connect_time_s: float = 0.0
+    statement_s: float = 0.0
+    delay_s: float = 0.0
+    answer_delay_s: float = 0.0
+    lag_s: float = 0.0
+    receive_lag_s: float = 0.0
+    lose_answers: int = 0
+    truncate_answers: int = 0
+    duplicate_answers: int = 0
+    cross_answers: int = 0
+    leaving: bool = False
+    cut_from: list[str] = dataclasses.field(default_factory=list)
+
+
+class _Protocol(web_protocol.RequestHandler):
+    """Tell the instance when a TCP connection is closed."""
+
+    __slots__ = ("on_lost",)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        on_lost = getattr(self, "on_lost", None)
+        super().connection_lost(exc)
+        if on_lost is not None:
+            on_lost()
+
+
+class _Server(web.Server):
+    def __call__(self) -> _Protocol:
+        return _Protocol(self, loop=self._loop, **self._kwargs)
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class _Connection:
+    number: str
+    protocol: _Protocol
+    session: database.Session
+    owns_lock: bool = False
+
+
+class Instance:
+    """Serve one endpoint instance."""
+
+    def __init__(self, name: str, group: str, *, data: str | None = None, **controls: Any):
+        self.name, self.group = name, group
+        self.controls = Controls(**controls)
+        self.replica = replication.Replica(name, database.Log(data), self.controls, self._reset_sessions)
+        self.counts = {"statements": 0, "most_running": 0, "most_connections": 0}
+        self._connections: dict[str, _Connection] = {}
+        self._opening = 0
+        self._running = 0
+        self._numbers = 0
+        self._write_lock = asyncio.Lock()
+        self._slot_freed = asyncio.Event()
+        self._routes = {
+            ("POST", "/connect"): self._connect,
+            ("POST", "/execute"): self._execute,
+            ("POST", "/begin"): self._begin,
+            ("POST", "/commit"): self._commit,
+            ("POST", "/rollback"): self._rollback,
+            ("GET", "/status"): self._status,
+            ("GET", "/positions"): self._positions,
+            ("GET", "/log"): self._log,
+            ("POST", "/term"): self._term,
+            ("POST", "/control"): self._control,
+        }
+        self._server = _Server(self._handle, keepalive_timeout=3600.0)
+        self._listener: asyncio.Server | None = None
+        self.url = ""
+
+    async def start(self, port: int = 0) -> str:
+        """Listen on loopback and return the base address."""
+        self._listener = await asyncio.get_running_loop().create_server(self._server, "127.0.0.1", port)
+        self.url = f"http://127.0.0.1:{self._listener.sockets[0].getsockname()[1]}"
+        await self.replica.start()
+        return self.url
+
+    async def stop(self) -> None:
+        """Close the listener and all connections."""
+        if self._listener is not None:
+            self._listener.close()
+        await self.replica.stop()
+        await self._server.shutdown(0.1)
+        for connection in list(self._connections.values()):
+            self._drop(connection)
+        self.replica.log.close()
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        peer = request.headers.get("X-Peer", "")
+        while request.path != "/control" and ("*" in self.controls.cut_from or peer in self.controls.cut_from):
+            if request.transport is None or request.transport.is_closing():
+                return web.Response(status=500)
+            await asyncio.sleep(0.02)
+        route = self._routes.get((request.method, request.path))
+        if route is None:
+            return web.json_response({"error": "unknown_route"}, status=404)
+        status = 200
+        try:
+            body = await request.json() if request.method == "POST" else dict(request.query)
+            answer = await route(body, request)
+        except FaultError as fault:
+            status, answer = fault.status, fault.body
+        response = web.json_response(answer, status=status)
+        if "X-Request-Id" in request.headers:
+            response.headers["X-Request-Id"] = request.headers["X-Request-Id"]
+        if request.path in ("/execute", "/begin", "/commit", "/rollback"):
+            await self._spoil(request, response)
+        return response
+
+    async def _spoil(self, request: web.BaseRequest, response: web.Response) -> None:
+        controls = self.controls
+        await asyncio.sleep(controls.answer_delay_s) if controls.answer_delay_s else None
+        head = f"HTTP/1.1 {response.status} OK\r\nContent-Type: application/json\r\n"
+        head += f"X-Request-Id: {request.headers.get('X-Request-Id', '')}\r\n"
+        raw = f"{head}Content-Length: {len(response.body)}\r\n\r\n".encode() + response.body
+        if request.transport is None:
+            return
+        if controls.lose_answers > 0:
+            controls.lose_answers -= 1
+            request.transport.abort()
+        elif controls.truncate_answers > 0:
+            controls.truncate_answers -= 1
+            request.transport.write(raw[:-5])
+            request.transport.close()
+        elif controls.duplicate_answers > 0:
+            controls.duplicate_answers -= 1
+            request.transport.write(raw)
+        elif controls.cross_answers > 0:
+            controls.cross_answers -= 1
+            response.headers["X-Request-Id"] = "another-request"
+
+    async def _connect(self, body: dict[str, Any], request: web.BaseRequest) -> dict[str, Any]:
+        if self.controls.leaving:
+            raise FaultError(503, "leaving")
+        if len(self._connections) + self._opening >= self.controls.connections:
+            raise FaultError(503, "too_many_connections")
+        self._opening += 1
+        try:
+            await asyncio.sleep(self.controls.connect_time_s)
+        finally:
+            self._opening -= 1
+        self._numbers += 1
+        connection = _Connection(f"{self.name}-{self._numbers}", request.protocol, self.replica.log.session())
+        self._connections[connection.number] = connection
+        connection.protocol.on_lost = lambda: self._drop(connection)
+        if request.transport is None or request.transport.is_closing():
+            self._drop(connection)
+        self.counts["most_connections"] = max(self.counts["most_connections"], len(self._connections))
+        return {"connection": connection.number}
+
+    async def _execute(self, body: dict[str, Any], request: web.BaseRequest) -> dict[str, Any]:
+        connection = self._check(body, request)
+        alone = body["access"] == "write" and not connection.session.in_transaction
+        if alone:
+            await self._lock(connection)
+        try:
+            async with self._slot():
+                self._check(body, request)
+                self._check_position(body)
+                return self._run(connection, body, alone)
+        finally:
+            if alone:
+                self._unlock(connection)
+
+    def _run(self, connection: _Connection, body: dict[str, Any], alone: bool) -> dict[str, Any]:
+        session = connection.session
+        self.counts["statements"] += 1
+        try:
+            if alone:
+                session.begin()
+            answer = session.run(body["sql"], body.get("params", []), body["access"])
+            if alone:
+                self.replica.commit(session.commit())
+        except (sqlite3.Error, sqlite3.Warning, OverflowError) as error:
+            if alone or not session.in_transaction:
+                session.rollback()
+            raise FaultError(422, "sql_error", detail=str(error)) from None
+        applied = self.replica.applied_time()
+        return {**answer, "term": self.replica.term, "index": self.replica.log.applied, "applied_time": applied}
+
+    async def _begin(self, body: dict[str, Any], request: web.BaseRequest) -> dict[str, Any]:
+        connection = self._check({**body, "access": "write"}, request)
+        if connection.session.in_transaction:
+            raise FaultError(409, "in_transaction")
+        await self._lock(connection)
+        try:
+            self._check({**body, "access": "write"}, request)
+            connection.session.begin()
+        except FaultError:
+            self._unlock(connection)
+            raise
+        return {"term": self.replica.term, "index": self.replica.log.applied}
+
+    async def _commit(self, body: dict[str, Any], request: web.BaseRequest) -> dict[str, Any]:
+        connection = self._check({**body, "access": "write"}, request)
+        if not connection.session.in_transaction:
+            raise FaultError(409, "no_transaction")
+        async with self._slot():
+            self._check({**body, "access": "write"}, request)
+            statements = connection.session.commit()
+            if statements:
+                self.replica.commit(statements)
+            self._unlock(connection)
+        return {"term": self.replica.term, "index": self.replica.log.applied}
+
+    async def _rollback(self, body: dict[str, Any], request: web.BaseRequest) -> dict[str, Any]:
+        connection = self._check(body, request)
+        connection.session.rollback()
+        self._unlock(connection)
+        return {"term": self.replica.term, "index": self.replica.log.applied}
+
+    async def _status(self, *_: Any) -> dict[str, Any]:
+        connections = len(self._connections) + self._opening
+        more = {"connections": connections, "leaving": self.controls.leaving, "counts": self.counts}
+        return {"instance": self.name, "group": self.group, **self.replica.status(), **more}
+
+    async def _positions(self, query: dict[str, Any], _: Any) -> dict[str, Any]:
+        received = await self.replica.wait_received(
+            int(query["term"]), int(query["beyond"]), float(query.get("timeout_s", 1.0))
+        )
+        return {**await self._status(), "received_index": received}
+
+    async def _log(self, query: dict[str, Any], _: Any) -> dict[str, Any]:
+        if query["name"] in self.controls.cut_from:
+            raise FaultError(503, "cut")
+        records = await self.replica.serve(int(query["term"]), int(query["after"]), int(query["after_term"]))
+        if records is None:
+            raise FaultError(409, "stale_term", term=self.replica.term)
+        return records
+
+    async def _term(self, body: dict[str, Any], _: Any) -> dict[str, Any]:
+        if not self.replica.set_term(body):
+            raise FaultError(409, "stale_term", term=self.replica.term)
+        return await self._status()
+
+    async def _control(self, body: dict[str, Any], _: Any) -> dict[str, Any]:
+        for name, value in body.items():
+            if name not in Controls.__dataclass_fields__:
+                raise FaultError(400, "unknown_control", name=name)
+            setattr(self.controls, name, value)
+        self._slot_freed.set()
+        return dataclasses.asdict(self.controls)
+
+    def _check(self, body: dict[str, Any], request: web.BaseRequest) -> _Connection:
+        connection = self._connections.get(body.get("connection", ""))
+        if connection is None or connection.protocol is not request.protocol:
+            raise FaultError(409, "unknown_connection")
+        if body["term"] != self.replica.term:
+            raise FaultError(409, "stale_term", term=self.replica.term)
+        if body.get("access") == "write" and self.replica.role != "primary":
+            raise FaultError(409, "not_primary")
+        if self.controls.leaving and not connection.session.in_transaction:
+            raise FaultError(503, "leaving")
+        return connection
+
+    def _check_position(self, body: dict[str, Any]) -> None:
+        index = self.replica.log.applied
+        if body.get("min_index") is not None and index < body["min_index"]:
+            raise FaultError(412, "behind", index=index)
+        if body.get("min_time") is not None and self.replica.applied_time() < body["min_time"]:
+            raise FaultError(412, "behind", index=index)
+
+    async def _lock(self, connection: _Connection) -> None:
+        try:
+            await asyncio.wait_for(self._write_lock.acquire(), BUSY_S)
+        except TimeoutError:
+            raise FaultError(503, "busy") from None
+        connection.owns_lock = True
+        if connection.number not in self._connections:
+            self._unlock(connection)
+            raise FaultError(409, "unknown_connection")
+
+    def _unlock(self, connection: _Connection) -> None:
+        if connection.owns_lock:
+            connection.owns_lock = False
+            self._write_lock.release()
+
+    @contextlib.asynccontextmanager
+    async def _slot(self) -> Any:
+        deadline = time.monotonic() + BUSY_S
+        while self._running >= self.controls.slots:
+            self._slot_freed.clear()
+            try:
+                await asyncio.wait_for(self._slot_freed.wait(), max(0.0, deadline - time.monotonic()))
+            except TimeoutError:
+                raise FaultError(503, "busy") from None
+        self._running += 1
+        self.counts["most_running"] = max(self.counts["most_running"], self._running)
+        try:
+            pause = self.controls.delay_s + self.controls.statement_s
+            if pause:
+                await asyncio.sleep(pause)
+            yield
+        finally:
+            self._running -= 1
+            self._slot_freed.set()
+
+    def _drop(self, connection: _Connection) -> None:
+        if self._connections.pop(connection.number, None) is not None:
+            connection.session.close()
+            self._unlock(connection)
+
+    def _reset_sessions(self, rebuilt: bool) -> None:
+        """Roll back open transactions; use the new sqlite file if it was built again."""
+        for connection in self._connections.values():
+            connection.session.rollback()
+            self._unlock(connection)
+            if rebuilt:
+                connection.session.close()
+                connection.session = self.replica.log.session()
+
+
+async def form_group(urls: dict[str, str], primary: str, *, term: int = 1, start_index: int = 0) -> None:
+    """Make one instance the primary of a term and the others its replicas."""
+    peers = [{"name": name, "url": url} for name, url in urls.items()]
+    async with aiohttp.ClientSession() as session:
+        for name in sorted(urls, key=lambda each: each != primary):
+            role = "primary" if name == primary else "replica"
+            body = {"term": term, "role": role, "primary": primary, "primary_url": urls[primary]}
+            body |= {"start_index": start_index, "peers": peers}
+            async with session.post(f"{urls[name]}/term", json=body) as answer:
+                answer.raise_for_status()
+
+
+def main() -> None:
+    """Run one instance until SIGTERM or SIGINT."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--name", required=True)
+    parser.add_argument("--group", required=True)
+    parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--port-file")
+    parser.add_argument("--data", help="directory that keeps log and term over a restart")
+    parser.add_argument("--connections", type=int, default=50)
+    parser.add_argument("--connect-time", dest="connect_time_s", type=float, default=0.0)
+    parser.add_argument("--slots", type=int, default=5)
+    parser.add_argument("--statement-time", dest="statement_s", type=float, default=0.0)
+    parser.add_argument("--lag", dest="lag_s", type=float, default=0.0)
+    parser.add_argument("--receive-lag", dest="receive_lag_s", type=float, default=0.0)
+    asyncio.run(_serve(vars(parser.parse_args())))
+
+
+async def _serve(options: dict[str, Any]) -> None:
+    port, port_file = options.pop("port"), options.pop("port_file")
+    instance = Instance(options.pop("name"), options.pop("group"), **options)
+    url = await instance.start(port)
+    number = url.rsplit(":", 1)[1]
+    if port_file:
+        await asyncio.to_thread(pathlib.Path(port_file).write_text, number)
+    print(json.dumps({"port": int(number)}), flush=True)
+    stopped = asyncio.Event()
+    for name in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(name, stopped.set)
+    await stopped.wait()
+    await instance.stop()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/standins/fakes.py
@@ -0,0 +1,137 @@
+"""Fakes of the interfaces around a holder, and a group of stand-in instances in this process."""
+
+import contextlib
+import dataclasses
+import hashlib
+
+import aiohttp
+
+from currantlead import timers
+from currantlead.connections import holder
+from currantlead.control import model
+from tests.standins import endpoint
+
+KEY = hashlib.sha256(b"key").hexdigest()
+OTHER_KEY = hashlib.sha256(b"other").hexdigest()
+
+
+class Directory:
+    """Hold shared state that a test changes."""
+
+    def __init__(self, group: model.Group, **service):
+        self.configuration = model.Configuration(
+            number=1,
+            services={"sql": model.Service("sql", **{"slots": 5, "connections": 20, **service})},
+            databases={group.name: model.Database(group.name, "sql")},
+            organisations={
+                "farm": model.Organisation("farm", 100, 100, ("sql",), {"main": KEY}),
+                "mill": model.Organisation("mill", 100, 100, ("sql",), {"main": OTHER_KEY}),
+            },
+        )
+        self.groups = {group.name: group}
+        self.views = {}
+        self.shares = model.Shares(0)
+        self._callbacks = []
+
+    def subscribe(self, callback):
+        """Register a callback."""
+        self._callbacks.append(callback)
+
+    def set_group(self, **changes):
+        """Change the only group and call back."""
+        name, group = next(iter(self.groups.items()))
+        self.groups[name] = dataclasses.replace(group, **changes)
+        self._notify("groups", name)
+
+    def set_configuration(self, **changes):
+        """Change the configuration and call back."""
+        self.configuration = dataclasses.replace(self.configuration, **changes)
+        self._notify("configuration", "current")
+
+    def _notify(self, kind, name):
+        for callback in self._callbacks:
+            callback(kind, name)
+
+
+class Membership:
+    """Hold a share of every instance."""
+
+    def __init__(self, share=1.0):
+        self.share = share
+        self.lease = True
+
+    def lease_valid(self):
+        """Tell whether the lease holds."""
+        return self.lease
+
+    def holds(self, instance, domain):
+        """Return the share."""
+        return self.share if self.lease else 0.0
+
+
+class Peers:
+    """Collect handlers and serve requests to this VM itself."""
+
+    def __init__(self, vm="vm-1"):
+        self.member = model.Member(vm, "north", 7, "127.0.0.1:1")
+        self.handlers = {}
+
+    def handler(self, kind):
+        """Return a decorator that registers a handler."""
+        return lambda function: self.handlers.setdefault(kind, function)
+
+
+class Cluster:
+    """Bundle three stand-in instances, the shared state and one holder."""
+
+    def __init__(self, instances, directory, clock):
+        self.instances = instances
+        self.directory = directory
+        self.membership = Membership()
+        self.peers = Peers()
+        self.silent = []
+        self.holder = holder.Holder(
+            directory, self.membership, self.peers, clock, on_silent=lambda *args: self.silent.append(args)
+        )
+
+    @property
+    def primary(self):
+        """Return the stand-in that began as primary."""
+        return self.instances["ledger-a"]
+
+    async def promote(self, name, term, *, reachable=("ledger-a", "ledger-b", "ledger-c")):
+        """Promote an instance as a coordinator does, and change the group record."""
+        start = self.instances[name].replica.log.index
+        urls = {each: self.instances[each].url for each in reachable}
+        await endpoint.form_group(urls, name, term=term, start_index=start)
+        self.directory.set_group(term=term, primary=name, starts={term: start})
+
+
+@contextlib.asynccontextmanager
+async def running(*, start=True, data=None, service=None, **controls):
+    """Run a group of three instances and a holder of all of them."""
+    names = ("ledger-a", "ledger-b", "ledger-c")
+    instances = {name: endpoint.Instance(name, "ledger", data=data and data[name], **controls) for name in names}
+    urls = {name: await instance.start() for name, instance in instances.items()}
+    await endpoint.form_group(urls, "ledger-a")
+    group = model.Group(
+        "ledger", 1, model.Phase.STABLE, "ledger-a", tuple(model.Instance(n, urls[n], "north") for n in names), {1: 0}
+    )
+    clock = timers.TimerService()
+    clock.start()
+    cluster = Cluster(instances, Directory(group, **(service or {})), clock)
+    if start:
+        cluster.holder.start()
+    try:
+        yield cluster
+    finally:
+        await cluster.holder.stop(timeout_s=0.2)
+        await clock.stop()
+        for instance in instances.values():
+            await instance.stop()
+
+
+async def control(url, **values):
+    """Change the controls of a stand-in in another process."""
+    async with aiohttp.ClientSession() as session, session.post(f"{url}/control", json=values) as answer:
+        return await answer.json()
