Read a configuration through the platform and the directory

Cause: other parts need the shared state and a platform to test against.

Change: the stand-in platform as a separate process, an in-memory stand-in of platform and peers, the HTTP client, the stored form of the configuration in content-addressed parts, typed records of groups, views and shares, and the directory. Writes are sent once: aiohttp repeats PUT and DELETE on a closed connection, and a write that took effect was then answered as a conflict with itself (found by the test of lost answers).

Store and relay are not part of this.

--- a/src/currantlead/errors.py
+++ b/src/currantlead/errors.py
@@ -13,6 +13,10 @@
     """Raised when bytes from a peer are not a valid frame; the stream cannot be read any further."""
 
 
+class MalformedObjectError(CurrantleadError):
+    """Raised when an object of the platform does not have the stored form; the message names field and place."""
+
+
 class UnknownNameError(CurrantleadError):
     """Raised when a registry has no entry of the given name."""
 
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,157 @@
+"""Tests of the platform's HTTP client against the stand-in."""
+
+import asyncio
+import json
+import signal
+import sys
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from currantlead import errors, interfaces
+from currantlead.control import configuration, directory, model, platform
+from tests.standins import platform as standin
+
+
+@pytest.fixture
+async def server():
+    """Serve the stand-in in this process on an ephemeral port."""
+    runner = web.AppRunner(standin.application({"groups": {"ledger": {"term": 1}}}), shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    yield f"http://127.0.0.1:{runner.addresses[0][1]}"
+    await runner.cleanup()
+
+
+@pytest.fixture
+async def client(server):
+    """Return a client with a short timeout."""
+    client = platform.HttpPlatform(server, timeout_s=0.5)
+    yield client
+    await client.close()
+
+
+async def control(server, path="/control", **settings):
+    """Set faults of the stand-in."""
+    async with aiohttp.ClientSession() as session, session.post(server + path, json=settings) as answer:
+        assert answer.status == 200
+
+
+async def test_configuration_reaches_a_directory(client):
+    """A stored configuration can be read through the client and taken into force."""
+    wanted = model.Configuration(1, services={"rent": model.Service("rent", 2, 15)})
+    encoded = configuration.encode(wanted)
+    for name, text in encoded.texts.items():
+        await client.write("parts", name, configuration.part_value(text), if_version=0)
+    index = configuration.Index(number=1, change_id="c1", parts=encoded.labels)
+    await client.write("configuration", "current", configuration.encode_index(index), if_version=0)
+    cache = directory.Directory(lambda: 0.0)
+    cache.apply([await client.read("configuration", "current")])
+    cache.apply([await client.read("parts", name) for name in cache.missing_parts()])
+    assert cache.configuration == wanted
+
+
+async def test_conditional_writes(client):
+    """A write or removal with another version than the object's has no effect."""
+    first = await client.write("views", "larisa/ä", {"number": 1}, if_version=0)
+    second = await client.write("views", "larisa/ä", {"number": 2}, if_version=first)
+    with pytest.raises(errors.VersionConflictError):
+        await client.write("views", "larisa/ä", {"number": 3}, if_version=first)
+    with pytest.raises(errors.VersionConflictError):
+        await client.remove("views", "larisa/ä", if_version=first)
+    assert await client.read("views", "larisa/ä") == interfaces.StoredObject("views", "larisa/ä", second, {"number": 2})
+    await client.remove("views", "larisa/ä", if_version=second)
+    assert await client.names("views") == {}
+    assert await client.write("views", "larisa/ä", {}, if_version=0) > second
+
+
+async def test_watch_wakes_on_a_change(client, server):
+    """A waiting watch returns at a change and counts as one call."""
+    revision, _ = await client.watch("groups", since=0, timeout_s=0)
+    waiting = asyncio.create_task(client.watch("groups", since=revision, timeout_s=5))
+    await asyncio.sleep(0.05)
+    version = await client.write("groups", "other", {}, if_version=0)
+    assert await asyncio.wait_for(waiting, 1) == (version, [("other", version)])
+    async with aiohttp.ClientSession() as session, session.get(f"{server}/counts") as answer:
+        assert (await answer.json())["watches"] == 2
+
+
+async def test_outage_cuts_waiting_watches(client, server):
+    """During an outage no call waits for its full timeout, and calls succeed afterwards."""
+    waiting = asyncio.create_task(client.watch("groups", since=99, timeout_s=5))
+    await asyncio.sleep(0.05)
+    await control(server, outage=True)
+    with pytest.raises(errors.PlatformUnavailableError):
+        await asyncio.wait_for(waiting, 1)
+    with pytest.raises(errors.PlatformUnavailableError):
+        await client.read("groups", "ledger")
+    await control(server, outage=False)
+    assert await client.read("groups", "absent") is None
+
+
+async def test_lost_answer_leaves_the_effect(client, server):
+    """A write whose answer is lost raises, and the object has changed."""
+    await control(server, lose_answers=1)
+    with pytest.raises(errors.PlatformUnavailableError):
+        await client.write("views", "larisa", {"number": 1}, if_version=0)
+    assert (await client.read("views", "larisa")).value == {"number": 1}
+
+
+async def test_slow_platform_is_bounded(client, server):
+    """A call gives up after its timeout, also where it waits for its turn."""
+    await control(server, latency_s=2.0)
+    calls = [client.read("groups", "ledger") for _ in range(40)]
+    outcomes = await asyncio.wait_for(asyncio.gather(*calls, return_exceptions=True), 1.5)
+    assert all(isinstance(outcome, errors.PlatformUnavailableError) for outcome in outcomes)
+
+
+async def test_list_of_vms_lags(client, server):
+    """A VM is listed only after the lag."""
+    await control(server, list_lag_s=0.2)
+    await control(server, "/control/vms", vm="v1", domain="larisa", peer_address="127.0.0.1:1")
+    assert await client.list_vms() == []
+    await asyncio.sleep(0.25)
+    assert await client.list_vms() == [interfaces.ListedVm("v1", "larisa", "live", "127.0.0.1:1")]
+
+
+@pytest.mark.parametrize(
+    ("status", "text"),
+    [(200, "{"), (200, "[]"), (200, '{"version": "x", "value": 1}'), (200, '{"version": 1}'), (500, "{}"), (200, "")],
+)
+async def test_malformed_answers(status, text):
+    """An answer that is not the published form is no answer."""
+
+    async def answer(_):
+        return web.Response(status=status, text=text)
+
+    app = web.Application()
+    app.router.add_get("/{path:.*}", answer)
+    runner = web.AppRunner(app)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    client = platform.HttpPlatform(f"http://127.0.0.1:{runner.addresses[0][1]}")
+    with pytest.raises(errors.PlatformUnavailableError):
+        await client.read("groups", "ledger")
+    await client.close()
+    await runner.cleanup()
+
+
+@pytest.mark.processes
+async def test_separate_process(tmp_path):
+    """The stand-in starts as a process with a seed, names its port and ends on SIGTERM."""
+    seed, port = tmp_path / "seed.json", tmp_path / "port"
+    seed.write_text(json.dumps({"groups": {"ledger": {"term": 3}}}))
+    arguments = ["-m", "tests.standins.platform", "--port", "0", "--port-file", str(port), "--seed", str(seed)]
+    process = await asyncio.create_subprocess_exec(sys.executable, *arguments)
+    try:
+        for _ in range(500):
+            if port.exists():
+                break
+            await asyncio.sleep(0.02)
+        client = platform.HttpPlatform(f"http://127.0.0.1:{port.read_text()}")
+        assert (await client.read("groups", "ledger")).value == {"term": 3}
+        await client.close()
+    finally:
+        process.send_signal(signal.SIGTERM)
+        assert await asyncio.wait_for(process.wait(), 5) == 0
