Add peer streams, placement, leases and membership

Cause: the parts for rates, connections and requests need streams between VMs and the roles that follow from a domain's view.

The witness acknowledges only heartbeats of its own view number, and a view is replaced only after a quorum adopted it, so that a member that missed several views cannot keep a lease on old witnesses.

--- /dev/null
+++ b/src/currantlead/control/members.py
@@ -0,0 +1,386 @@
+"""Keep this VM's lease, adopt views and report adoption; the task around ``lease`` and ``membership``."""
+
+import asyncio
+import inspect
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any
+
+from currantlead import interfaces, logs, timers
+from currantlead.control import changes, heartbeats, lease, membership, model, views
+
+HEARTBEAT_S = 1.0
+LEASE_CHECK_S = 0.1
+# Echoes normally wait for the next heartbeat; with less than this left of the lease they are asked for at once.
+HURRY_MARGIN_S = 1.5
+
+_log = logs.part("members")
+
+
+class Members:
+    """Implement ``interfaces.Membership``.
+
+    Attributes:
+        heartbeats_sent: Number of heartbeats sent since the start.
+    """
+
+    def __init__(
+        self,
+        peers: interfaces.Peers,
+        platform: interfaces.Platform,
+        directory: interfaces.Directory,
+        clock: timers.Timers,
+        *,
+        lease_s: float = lease.LEASE_S,
+        heartbeat_s: float = HEARTBEAT_S,
+    ):
+        self._peers = peers
+        self._directory = directory
+        self._clock = clock
+        self._heartbeat_s = heartbeat_s
+        self._me = lease.identify(peers.member)
+        self._domain = peers.member.domain
+        self._lease = lease.Lease(lease_s)
+        self._witness = lease.Witness(clock.now(), lease_s)
+        self._roles = membership.Roles(self._me, self._domain)
+        self._contacts = heartbeats.Contacts()
+        self._stamps = heartbeats.Stamps()
+        self._echoes: dict[lease.Identity, int] = {}
+        self._views: dict[str, model.View] = {}
+        self._placed: dict[str, membership.Placed] = {}
+        self._peer_views: dict[str, int] = {}
+        self._targets: tuple[str, ...] = ()
+        self._providers: dict[str, Callable[[], Any]] = {}
+        self._release_callbacks: list[Callable[[], Awaitable[None] | None]] = []
+        self._report_callbacks: list[Callable[[str, dict[str, Any]], None]] = []
+        self._subscriptions: list[timers.Subscription] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._usable = False
+        self._suspended_in = -1
+        self.heartbeats_sent = 0
+        self._changes = changes.Changes(self, peers, views.Store(platform, self._domain), clock)
+        peers.handler("ping")(self._on_ping)
+        peers.handler("suspend")(self._on_suspend)
+        peers.handler("join")(self._changes.on_join)
+
+    # Interface of other parts.
+
+    def lease_valid(self) -> bool:
+        """Tell whether this VM's lease holds now; call it in the same step as the use."""
+        return self._lease.valid(self._clock.now())
+
+    def owns(self, organisation: str) -> bool:
+        """Tell whether this VM is the active rate owner of the organisation in its own domain, lease included."""
+        return self.lease_valid() and self._roles.owns(organisation, self._lease.epoch)
+
+    def owned_since(self, organisation: str) -> float | None:
+        """Return the clock reading at which ownership became active, or None."""
+        return self._roles.owned_since(organisation, self._lease.epoch) if self.lease_valid() else None
+
+    def holds(self, instance: str, domain: str) -> float:
+        """Return the share (0 to 1) of the instance's connections that this VM may use now, lease included."""
+        if domain != self._domain or not self.lease_valid():
+            return 0.0
+        return self._roles.share(instance, self._lease.epoch)
+
+    def owner(self, organisation: str, domain: str) -> str | None:
+        """Return the VM that should own the organisation's bucket in a domain, or None if its view is empty."""
+        return membership.owner(self._placed.get(domain), organisation)
+
+    def holders(self, instance: str, domain: str) -> Sequence[str]:
+        """Return the VMs that should hold connections to the instance, best first."""
+        return membership.holders(self._placed.get(domain), instance)
+
+    def alive(self, vm: str) -> bool:
+        """Tell whether a VM is believed to be running; for VMs of other domains, whether a view names it."""
+        if vm == self._me.vm:
+            return True
+        view = self._roles.view
+        member = None if view is None else view.member(vm)
+        if member is not None:
+            return self._contacts.silent_s(lease.identify(member), self._clock.now()) < changes.SILENT_S
+        return any(view.member(vm) is not None for domain, view in self._views.items() if domain != self._domain)
+
+    # Interface of the composition.
+
+    @property
+    def view(self) -> model.View | None:
+        """Return the view of this VM's domain that it has adopted."""
+        return self._roles.view
+
+    @property
+    def settled(self) -> bool:
+        """Tell whether this VM's lease holds and all members of its view adopted it, so that all roles are active."""
+        return self.lease_valid() and self._roles.settled
+
+    def add_number(self, name: str, provider: Callable[[], Any]) -> None:
+        """Add a number to the heartbeats.
+
+        Args:
+            name: Short name, because each heartbeat carries it.
+            provider: Returns the value that this VM has adopted.
+        """
+        if name in self._providers:
+            raise ValueError(f"number {name!r} has a provider already")
+        self._providers[name] = provider
+
+    def numbers(self, vm: str) -> dict[str, Any]:
+        """Return the numbers that a VM reported last."""
+        if vm == self._me.vm:
+            return {name: provider() for name, provider in self._providers.items()}
+        return self._contacts.numbers(vm)
+
+    def add_report_callback(self, callback: Callable[[str, dict[str, Any]], None]) -> None:
+        """Call back with the VM and its numbers after each heartbeat received."""
+        self._report_callbacks.append(callback)
+
+    def add_release_callback(self, callback: Callable[[], Awaitable[None] | None]) -> None:
+        """Call back after this VM may have lost roles; adoption is reported after all callbacks have ended."""
+        self._release_callbacks.append(callback)
+
+    async def start(self) -> None:
+        """Start heartbeats and begin to join the view; does not wait until this VM is a member."""
+        self._directory.subscribe(self._on_object)
+        for domain in list(self._directory.views):
+            self._on_object(views.KIND, domain)
+        self._subscriptions = [
+            self._clock.subscribe("heartbeat", self._heartbeat_s, self._beat),
+            self._clock.subscribe("lease check", LEASE_CHECK_S, self._check_lease),
+        ]
+        self._changes.start()
+
+    async def stop(self, *, leave: bool = True) -> None:
+        """Release all roles, remove this VM from its view and end all tasks.
+
+        Args:
+            leave: Whether to remove this VM from the view; False imitates a crash in tests.
+        """
+        self._roles.leave()
+        await self._run_release_callbacks()
+        await self._changes.stop(leave=leave)
+        self._lease.drop()
+        for subscription in self._subscriptions:
+            subscription.cancel()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    # Interface of ``changes``.
+
+    @property
+    def roles(self) -> membership.Roles:
+        """Return the roles and adoption reports."""
+        return self._roles
+
+    def foreign_members(self) -> list[model.Member]:
+        """Return the members of the views of other domains."""
+        return [member for domain, view in self._views.items() if domain != self._domain for member in view.members]
+
+    def silent_s(self, identity: lease.Identity) -> float:
+        """Return for how long an incarnation has been silent."""
+        if identity == self._me:
+            return 0.0
+        return self._contacts.silent_s(identity, self._clock.now())
+
+    def suspended_by_peer(self) -> bool:
+        """Tell whether a witness reported in this view that it does not acknowledge this VM."""
+        return self._suspended_in == (self._roles.view.number if self._roles.view else 0)
+
+    def adopt(self, view: model.View) -> None:
+        """Adopt a view of any domain if it is newer than the known one."""
+        known = self._views.get(view.domain)
+        if known is not None and view.number <= known.number:
+            return
+        now = self._clock.now()
+        self._views[view.domain] = view
+        self._placed[view.domain] = membership.Placed(view)
+        self._peers.learn(lease.voters(view))
+        self._witness.adopt(view, now)
+        if view.domain == self._domain:
+            self._adopt_own(view, now)
+
+    def beat_now(self, *, push: bool = False) -> None:
+        """Send heartbeats outside the interval, after a change that peers wait for.
+
+        Args:
+            push: Whether to send the view itself.
+        """
+        self._beat(push=push)
+
+    def _adopt_own(self, view: model.View, now: float) -> None:
+        change = self._roles.adopt(view)
+        if change is None:
+            return
+        names = ", ".join(member.vm for member in view.members) or "none"
+        _log.info(
+            "adopted view {} of {}: joined {}, removed {}, members {}",
+            view.number,
+            view.domain,
+            change.joined,
+            change.removed,
+            names,
+        )
+        if change.member:
+            self._lease.adopt(view)
+        else:
+            self._lease.drop()
+            self._usable = False
+        for voter in lease.voters(view):
+            if voter.vm != self._me.vm:
+                self._contacts.expect(lease.identify(voter), now)
+        self._targets = tuple(voter.vm for voter in lease.voters(view) if voter.vm != self._me.vm)
+        self._spawn(self._release(view.number))
+
+    async def _release(self, number: int) -> None:
+        await self._run_release_callbacks()
+        if self._roles.view is not None and self._roles.view.number == number:
+            self._report_settled(self._roles.report_adopted, self._clock.now(), self._lease.epoch)
+            self._beat()
+            self._changes.wake()
+
+    async def _run_release_callbacks(self) -> None:
+        for callback in self._release_callbacks:
+            try:
+                pending = callback()
+                if inspect.isawaitable(pending):
+                    await pending
+            except Exception as error:
+                _log.opt(exception=error).error("a release callback failed")
+
+    def _report_settled(self, report: Callable[..., Any], *args: Any) -> None:
+        was = self._roles.settled
+        report(*args)
+        if self._roles.settled and not was and self._roles.view is not None:
+            _log.info("all members of view {} have adopted it: gained roles are active", self._roles.view.number)
+
+    def _beat(self, *, push: bool = False) -> None:
+        """Send a heartbeat to each voter of the view."""
+        view = self._roles.view
+        if view is None:
+            return
+        now = self._clock.now()
+        stamp = self._stamps.issue(now)
+        numbers = {name: provider() for name, provider in self._providers.items()}
+        if self._roles.member and self._witness.acknowledge(self._me, self._domain, view.number, now):
+            self._acknowledged(self._me, stamp, now)
+        hurry = self._roles.member and self._lease.expires - now < HURRY_MARGIN_S
+        for vm in self._targets:
+            body = self._body(vm, stamp, numbers)
+            if hurry:
+                body["f"] = 1
+            if push:
+                body["w"], body["wv"] = views.to_value(view), view.version
+            self._peers.notify(vm, "ping", body)
+        self.heartbeats_sent += len(self._targets)
+
+    def _body(self, vm: str, stamp: int, numbers: dict[str, Any]) -> dict[str, Any]:
+        view = self._roles.view
+        number = 0 if view is None else view.number
+        body: dict[str, Any] = {"d": self._domain, "i": self._me.incarnation, "v": number, "s": stamp}
+        if numbers:
+            body["n"] = numbers
+        if self._roles.reported != number:
+            body["a"] = self._roles.reported
+        incarnation = self._contacts.incarnation(vm)
+        if incarnation is not None:
+            identity = lease.Identity(vm, incarnation)
+            echo = self._echoes.get(identity)
+            if echo is not None:
+                body["e"] = echo
+            if self._witness.suspended(identity):
+                body["x"] = 1
+        return body
+
+    def _on_ping(self, vm: str, body: dict[str, Any]) -> dict[str, Any]:
+        now = self._clock.now()
+        domain, number, stamp = body["d"], body["v"], body["s"]
+        identity = lease.Identity(vm, body["i"])
+        if "w" in body:
+            self.adopt(views.from_value(body["w"], body["wv"]))
+        self._contacts.hear(identity, body.get("n"), now)
+        if self._witness.acknowledge(identity, domain, number, now):
+            self._echoes[identity] = stamp
+        else:
+            self._echoes.pop(identity, None)
+        self._acknowledged(identity, body.get("e"), now)
+        if domain == self._domain:
+            self._on_report(identity, body, now)
+        elif "o" in body:
+            self._roles.report(identity, body["o"], now, self._lease.epoch)
+            self._changes.progressed()
+        if "q" in body or "r" not in body:
+            self._answer(vm, domain, number, asked="q" in body, hurry="f" in body)
+        for callback in self._report_callbacks:
+            callback(vm, body.get("n", {}))
+        return {}
+
+    def _on_report(self, identity: lease.Identity, body: dict[str, Any], now: float) -> None:
+        view = self._roles.view
+        if view is not None and "x" in body and body["v"] == view.number:
+            self._suspended_in = view.number
+            self._changes.wake()
+        self._report_settled(self._roles.report, identity, body.get("a", body["v"]), now, self._lease.epoch)
+        self._changes.progressed()
+
+    def _answer(self, vm: str, domain: str, number: int, *, asked: bool, hurry: bool) -> None:
+        """Answer at once a VM that this VM sends no heartbeats, one whose view differs or whose lease ends soon.
+
+        Args:
+            vm: The sender of a heartbeat.
+            domain: Its domain.
+            number: Number of the view that it has adopted.
+            asked: Whether it asked for the view of this VM's domain.
+            hurry: Whether its lease ends soon.
+        """
+        known = self._witness.number(domain)
+        if vm in self._targets and number == known and not asked and not hurry:
+            return
+        body = self._body(vm, self._stamps.issue(self._clock.now()), {})
+        body["r"] = 1
+        if number > known:
+            body["q"] = 1
+        if domain != self._domain:
+            body["o"] = known
+        wanted = self._views.get(self._domain if asked else domain)
+        if wanted is not None and (asked or number < known):
+            body["w"], body["wv"] = views.to_value(wanted), wanted.version
+        self._peers.notify(vm, "ping", body)
+
+    def _acknowledged(self, witness: lease.Identity, stamp: Any, now: float) -> None:
+        sent = self._stamps.sent(stamp)
+        if sent is None or not self._roles.member:
+            return
+        epoch = self._lease.epoch
+        self._lease.acknowledge(witness, sent, now)
+        if self._lease.epoch != epoch:
+            _log.info("lease holds from now on")
+            self._usable = True
+            self._report_settled(self._roles.settle, now, self._lease.epoch)
+            self._changes.wake()
+
+    def _check_lease(self) -> None:
+        if self._usable and not self.lease_valid():
+            self._usable = False
+            _log.warning("lease lapsed: all roles stop")
+            self._roles.lose_all()
+            self._spawn(self._run_release_callbacks())
+
+    async def _on_suspend(self, vm: str, body: dict[str, Any]) -> dict[str, Any]:
+        self.adopt(views.from_value(body["view"], body["version"]))
+        domain, number = body["view"]["domain"], body["view"]["number"]
+        return {"promises": self.promise(domain, number, [lease.Identity(*holder) for holder in body["holders"]])}
+
+    def promise(self, domain: str, number: int, holders: list[lease.Identity]) -> list[list[float] | None]:
+        """Promise to suspend holders, as a witness of this VM's own or another domain."""
+        now = self._clock.now()
+        promises = [self._witness.suspend(holder, domain, number, now) for holder in holders]
+        return [None if promise is None else list(promise) for promise in promises]
+
+    def _on_object(self, kind: str, name: str) -> None:
+        view = self._directory.views.get(name) if kind == views.KIND else None
+        if view is not None:
+            self.adopt(view)
+
+    def _spawn(self, pending: Any) -> None:
+        task = asyncio.get_running_loop().create_task(pending)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/src/currantlead/control/views.py
@@ -0,0 +1,129 @@
+"""Compute and store changes of a domain's view; each changes one voter."""
+
+import dataclasses
+from typing import Any
+
+from currantlead import errors, interfaces, logs, wire
+from currantlead.control import lease, model
+from currantlead.routing import placement
+
+KIND = "views"
+
+_log = logs.part("members")
+
+
+def to_value(view: model.View) -> dict[str, Any]:
+    """Return a view as the value of its platform object; the version belongs to the object."""
+    value = wire.to_map(view)
+    del value["version"]
+    return value
+
+
+def from_value(value: Any, version: int) -> model.View:
+    """Read a view from the value of its platform object.
+
+    Raises:
+        errors.MalformedFrameError: The value is no view.
+    """
+    return dataclasses.replace(wire.from_map(model.View, value), version=version)
+
+
+def with_member(view: model.View, member: model.Member) -> model.View:
+    """Return the next view with a member added, or with its older incarnation replaced."""
+    others = [known for known in view.members if known.vm != member.vm]
+    return _next(view, members=tuple(sorted([*others, member], key=lambda known: known.vm)))
+
+
+def without(view: model.View, identity: lease.Identity) -> model.View:
+    """Return the next view without one incarnation of a VM."""
+    return _next(view, members=tuple(known for known in view.members if lease.identify(known) != identity))
+
+
+def with_witness(view: model.View, witness: model.Member | None) -> model.View:
+    """Return the next view with another extra witness."""
+    return _next(view, witness=witness)
+
+
+def renumbered(view: model.View) -> model.View:
+    """Return the next view with the same voters, which ends suspensions of an abandoned removal."""
+    return _next(view)
+
+
+def first(domain: str, member: model.Member, empty: model.View | None) -> model.View:
+    """Return the view of a domain without members after the first VM joined."""
+    number = 0 if empty is None else empty.number
+    version = 0 if empty is None else empty.version
+    return model.View(domain, number + 1, (member,), None, version)
+
+
+def repair_witness(view: model.View, candidates: list[model.Member], failed: set[lease.Identity]) -> model.View | None:
+    """Return the next step towards the right extra witness, or None if nothing is to be done.
+
+    Args:
+        view: The current view.
+        candidates: Members of the views of other domains.
+        failed: Witnesses that do not answer.
+    """
+    usable = {member.vm: member for member in candidates if lease.identify(member) not in failed}
+    even = len(view.members) % 2 == 0 and bool(view.members)
+    if view.witness is not None:
+        known = usable.get(view.witness.vm)
+        replaced = lease.identify(view.witness) in failed or (known is not None and known != view.witness)
+        return with_witness(view, None) if not even or (replaced and usable) else None
+    if not even or not usable:
+        return None
+    best = placement.rank(f"witness:{view.domain}", sorted(usable))[0]
+    return with_witness(view, usable[best])
+
+
+def _next(view: model.View, **changes: Any) -> model.View:
+    return dataclasses.replace(view, number=view.number + 1, **changes)
+
+
+class Store:
+    """Read and write the view of one domain on the platform."""
+
+    def __init__(self, platform: interfaces.Platform, domain: str):
+        self._platform = platform
+        self._domain = domain
+
+    async def read(self) -> model.View | None:
+        """Return the stored view, or None if there is none.
+
+        Raises:
+            errors.PlatformUnavailableError: There was no usable answer.
+        """
+        stored = await self._platform.read(KIND, self._domain)
+        return None if stored is None else from_value(stored.value, stored.version)
+
+    async def write(self, view: model.View) -> model.View | None:
+        """Replace the version that a view carries by the view.
+
+        Args:
+            view: The next view, with the version of the one before.
+
+        Returns:
+            The view with its new version, or None if another change came first.
+
+        Raises:
+            errors.PlatformUnavailableError: It is unknown whether the write took effect; the same write may be tried
+                again.
+        """
+        try:
+            version = await self._platform.write(KIND, self._domain, to_value(view), if_version=view.version)
+        except errors.VersionConflictError:
+            # The conflict may be with this very write, if the client repeated it after a lost answer.
+            return await self._read_back(view)
+        except errors.PlatformUnavailableError:
+            written = await self._read_back(view)
+            if written is None:
+                raise
+            _log.info("view {} of {} was stored although the answer was lost", view.number, view.domain)
+            return written
+        return dataclasses.replace(view, version=version)
+
+    async def _read_back(self, view: model.View) -> model.View | None:
+        stored = await self.read()
+        if stored is None or dataclasses.replace(stored, version=view.version) != view:
+            return None
+        return stored
--- /dev/null
+++ b/tests/fakes_membership.py
@@ -0,0 +1,110 @@
+"""Fakes for tests of the membership: a platform in memory, a directory and whole VMs on loopback."""
+
+import asyncio
+import dataclasses
+
+from currantlead import errors, interfaces, timers
+from currantlead.control import members, model, views
+from currantlead.peers import network
+
+
+class FakePlatform:
+    """Store objects in memory; may be out of service or lose answers."""
+
+    def __init__(self):
+        self.objects = {}
+        self.outage = False
+        self.lose_next = 0
+        self.writes = 0
+
+    async def read(self, kind, name):
+        """Return an object."""
+        await self._answer()
+        found = self.objects.get((kind, name))
+        return None if found is None else interfaces.StoredObject(kind, name, *found)
+
+    async def write(self, kind, name, value, *, if_version):
+        """Write an object conditionally."""
+        await self._answer()
+        version = self.objects.get((kind, name), (0, None))[0]
+        if version != if_version:
+            raise errors.VersionConflictError(f"version is {version}")
+        self.objects[kind, name] = (version + 1, value)
+        self.writes += 1
+        if self.lose_next:
+            self.lose_next -= 1
+            raise errors.PlatformUnavailableError("answer lost")
+        return version + 1
+
+    async def _answer(self):
+        await asyncio.sleep(0.002)
+        if self.outage:
+            raise errors.PlatformUnavailableError("outage")
+
+
+class FakeDirectory:
+    """Hold views that tests put there."""
+
+    def __init__(self):
+        self.views = {}
+        self._callbacks = []
+
+    def subscribe(self, callback):
+        """Remember a subscriber."""
+        self._callbacks.append(callback)
+
+    def put(self, view):
+        """Change a view and tell the subscribers."""
+        self.views[view.domain] = view
+        for callback in self._callbacks:
+            callback("views", view.domain)
+
+
+@dataclasses.dataclass
+class Vm:
+    """Hold the parts of one VM."""
+
+    network: network.Network
+    clock: timers.TimerService
+    directory: FakeDirectory
+    members: members.Members
+
+    async def stop(self, *, leave=True):
+        """Stop all parts."""
+        await self.members.stop(leave=leave)
+        await self.network.stop()
+        await self.clock.stop()
+
+
+async def start_vm(name, domain, platform, **options):
+    """Start one VM on loopback."""
+    peers = network.Network(name, domain)
+    await peers.start()
+    clock = timers.TimerService()
+    clock.start()
+    directory = FakeDirectory()
+    vm = Vm(peers, clock, directory, members.Members(peers, platform, directory, clock, **options))
+    await vm.members.start()
+    return vm
+
+
+def stored_view(platform, domain):
+    """Return the stored view."""
+    version, value = platform.objects[views.KIND, domain]
+    return views.from_value(value, version)
+
+
+async def until(condition, timeout_s=5.0):
+    """Wait until a condition holds; return the seconds that it took."""
+    loop = asyncio.get_running_loop()
+    start = loop.time()
+    while not condition():
+        if loop.time() - start > timeout_s:
+            raise TimeoutError("the condition did not come true")
+        await asyncio.sleep(0.005)
+    return loop.time() - start
+
+
+def empty_view(domain="larisa"):
+    """Return a view without members."""
+    return model.View(domain, 1)
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,77 @@
+"""Tests of joining, leaving and removing members over loopback."""
+
+import asyncio
+
+from tests import fakes_membership as fakes
+
+
+async def _start(platform, names, domain="larisa", **options):
+    return await asyncio.gather(*(fakes.start_vm(name, domain, platform, **options) for name in names))
+
+
+async def _stop(vms):
+    await asyncio.gather(*(vm.stop(leave=False) for vm in vms))
+
+
+async def test_eight_vms_join_within_two_seconds():
+    """Guards against conflicting updates that keep VMs of a starting domain out of the view."""
+    platform = fakes.FakePlatform()
+    vms = await _start(platform, [f"vm{n}" for n in range(8)])
+    took = await fakes.until(lambda: all(vm.members.settled for vm in vms))
+    assert took < 2.0
+    assert len(fakes.stored_view(platform, "larisa").members) == 8
+    owners = [sum(vm.members.owns(f"org{n}") for vm in vms) for n in range(50)]
+    assert owners == [1] * 50
+    shares = [sum(vm.members.holds(f"db{n}-1", "larisa") for vm in vms) for n in range(50)]
+    assert shares == [1.0] * 50
+    await _stop(vms)
+
+
+async def test_vms_exchange_requests_and_numbers():
+    """Guards against members that know each other's view but cannot reach each other."""
+    platform = fakes.FakePlatform()
+    first, second = await _start(platform, ["vm1", "vm2"])
+    second.members.add_number("c", lambda: 17)
+
+    @second.network.handler("add")
+    async def add(vm, body):
+        return {"sum": body["a"] + body["b"], "from": vm}
+
+    await fakes.until(lambda: first.members.settled and second.members.settled)
+    reply = await first.network.request("vm2", "add", {"a": 1, "b": 2}, timeout_s=1)
+    assert reply == {"sum": 3, "from": "vm1"}
+    second.members.beat_now()
+    await fakes.until(lambda: first.members.numbers("vm2") == {"c": 17})
+    await _stop([first, second])
+
+
+async def test_planned_stop_moves_roles_at_once():
+    """Guards against a planned stop that leaves its roles without a VM for the time of a lease."""
+    platform = fakes.FakePlatform()
+    vms = await _start(platform, ["vm1", "vm2", "vm3"])
+    await fakes.until(lambda: all(vm.members.settled for vm in vms))
+    await vms[0].stop()
+    took = await fakes.until(lambda: all(len(vm.members.view.members) == 2 and vm.members.settled for vm in vms[1:]))
+    assert took < 0.5
+    assert [sum(vm.members.owns(f"org{n}") for vm in vms) for n in range(30)] == [1] * 30
+    await _stop(vms[1:])
+
+
+async def test_silent_member_is_removed_and_comes_back():
+    """Guards against a removal that never ends, and against a removed VM that does not notice."""
+    platform = fakes.FakePlatform()
+    vms = await _start(platform, ["vm1", "vm2", "vm3"])
+    await fakes.until(lambda: all(vm.members.settled for vm in vms))
+    released = []
+    vms[2].members.add_release_callback(lambda: released.append(True))
+    for vm in vms[:2]:
+        vm.network.cut(["vm3"])
+    vms[2].network.cut(["vm1", "vm2"])
+    took = await fakes.until(lambda: all(len(vm.members.view.members) == 2 for vm in vms[:2]), 10)
+    assert took < 7
+    assert not vms[2].members.lease_valid()
+    assert released
+    for vm in vms:
+        vm.network.cut([])
+    await fakes.until(lambda: all(len(vm.members.view.members) == 3 and vm.members.settled for vm in vms), 10)
+    await _stop(vms)
