Add the border, key index and admission of requests

Cause: other parts integrate against a server that answers statements and a gate that admits requests.

Change: WSGI application of the callers' routes on a cheroot server that keeps new connections in the selector until bytes arrive, refuses ambiguous requests and bounds each transfer; health, metrics and operator routes; key digests; the owner's ledger, a VM's token cache, shares, and the task between them.

Result: a statement is answered over a real server with an echoing proxy; a VM that owns nothing spends a burst of 10 held by three domains and is refused the eleventh request. 23 tests pass.

--- /dev/null
+++ b/src/currantlead/border/server.py
@@ -0,0 +1,260 @@
+"""Run the HTTP servers of callers and operators with CherryPy."""
+
+import asyncio
+import enum
+import hashlib
+import hmac
+import os
+import threading
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import cherrypy
+import prometheus_client
+import pydantic
+import pydantic_core
+from cherrypy import _cptree
+
+from currantlead import errors, logs, verdict
+from currantlead.border import application, listener, models
+
+_log = logs.part("border")
+
+
+def _error_page(status: str, message: str, traceback: str, version: str) -> bytes:
+    """Answer as a refusal; CherryPy's own page repeats the path, where a caller may have put its key."""
+    cherrypy.serving.response.headers["Content-Type"] = "application/json"
+    kind = verdict.Verdict.MAY_HAVE_RUN if status.startswith("5") else verdict.Verdict.NOT_RUN
+    refusal = verdict.Refusal(verdict.Reason.MALFORMED, kind, f"path or method: {status}")
+    return pydantic_core.to_json(application.refusal_body(refusal, os.urandom(12).hex()))
+
+
+# CherryPy's own logs hold request lines and, after an error, all headers with the caller's key.
+_QUIET: dict[str, Any] = {
+    "log.screen": False,
+    "log.access_file": "",
+    "log.error_file": "",
+    "error_page.default": _error_page,
+    "tools.log_headers.on": False,
+    "tools.log_tracebacks.on": False,
+    "request.show_tracebacks": False,
+}
+
+
+class State(enum.Enum):
+    """Name what ``/health`` reports."""
+
+    STARTING = "starting"
+    READY = "ready"
+    LEAVING = "leaving"
+
+
+def run_on(loop: asyncio.AbstractEventLoop) -> application.Run:
+    """Return a function that runs a coroutine on a loop of another thread and waits for it.
+
+    Args:
+        loop: The core loop.
+
+    Returns:
+        A function that takes a coroutine and a timeout in seconds. It cancels the coroutine at the timeout.
+    """
+
+    def run(coroutine: Coroutine[Any, Any, Any], timeout_s: float) -> Any:
+        if not loop.is_running():
+            coroutine.close()
+            raise application.NotStartedError("the core loop does not run")
+        future = asyncio.run_coroutine_threadsafe(coroutine, loop)
+        try:
+            return future.result(timeout_s)
+        finally:
+            future.cancel()
+
+    return run
+
+
+class Metrics:
+    """Count requests by action and status, with their duration."""
+
+    def __init__(self, registry: prometheus_client.CollectorRegistry):
+        self.registry = registry
+        self._answers = prometheus_client.Counter(
+            "currantlead_requests", "Answers to callers", ["action", "status"], registry=registry
+        )
+        self._seconds = prometheus_client.Histogram(
+            "currantlead_request_seconds", "Seconds from headers to answer", ["action"], registry=registry
+        )
+
+    def observe(self, action: str, status: int, seconds: float) -> None:
+        """Record one answer."""
+        self._answers.labels(action, str(status)).inc()
+        self._seconds.labels(action).observe(seconds)
+
+
+class Border:
+    """Own the caller port and the operator port."""
+
+    def __init__(
+        self,
+        proxy: Any,
+        run: application.Run,
+        *,
+        address: tuple[str, int] = ("127.0.0.1", 0),
+        operator_address: tuple[str, int] = ("127.0.0.1", 0),
+        operator_key_digest: str = "",
+        command: Callable[[str], dict[str, Any]] | None = None,
+        threads: int = 32,
+        client_timeout_s: float = 10.0,
+        request_timeout_s: float = 30.0,
+        metrics: Metrics | None = None,
+        tree: Any = None,
+    ):
+        """Create the servers; ``start`` binds the ports.
+
+        Args:
+            proxy: An ``interfaces.Proxy``.
+            run: Runs a coroutine on the core loop and waits, see ``run_on``.
+            address: Host and port for callers; port 0 takes a free one.
+            operator_address: Host and port for operators.
+            operator_key_digest: SHA-256 of the operator key in hexadecimal; empty refuses all commands.
+            command: Executes the text of commands and returns the answer; raises ``errors.CommandError``.
+            threads: Worker threads of the caller port.
+            client_timeout_s: Longest time to read a request or write an answer, and the longest idle time.
+            request_timeout_s: Longest time of one request in the proxy.
+            metrics: Counts requests; made on a new registry by default.
+            tree: CherryPy tree; the process-wide one by default. Several servers in one process need their own.
+        """
+        self.state = State.STARTING
+        self.metrics = metrics or Metrics(prometheus_client.CollectorRegistry())
+        self.application = application.Application(
+            proxy, run, timeout_s=request_timeout_s, leaving=self._leaving, observe=self.metrics.observe
+        )
+        self._tree = cherrypy.tree if tree is None else tree
+        self._tree.graft(self.application, "/v1")
+        cherrypy.log.screen = False
+        self._tree.mount(_Status(self), "", {"/": _QUIET})
+        operators = _cptree.Tree()
+        operators.graft(_Operators(operator_key_digest, command), "/operators")
+        self._callers = self._listener(address, self._tree, threads, client_timeout_s, request_timeout_s)
+        self._operators = self._listener(operator_address, operators, 2, client_timeout_s, request_timeout_s)
+        self._threads: list[threading.Thread] = []
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Return the bound host and port for callers."""
+        return self._callers.bind_addr
+
+    @property
+    def operator_address(self) -> tuple[str, int]:
+        """Return the bound host and port for operators."""
+        return self._operators.bind_addr
+
+    def start(self) -> None:
+        """Bind both ports and serve; ``/health`` answers ``starting`` until ``ready`` is called."""
+        for server in (self._callers, self._operators):
+            server.prepare()
+            thread = threading.Thread(target=server.serve, name="border", daemon=True)
+            thread.start()
+            self._threads.append(thread)
+        _log.info("callers on {}, operators on {}", self.address, self.operator_address)
+
+    def ready(self) -> None:
+        """Let ``/health`` answer ``ready``."""
+        if self.state is State.STARTING:
+            self.state = State.READY
+
+    def leave(self) -> None:
+        """Let ``/health`` answer ``leaving`` and close each connection with its next answer."""
+        self.state = State.LEAVING
+
+    def stop(self) -> None:
+        """Wait for the requests under way and close both ports. Blocks; call it outside the core loop's thread."""
+        self.leave()
+        for server in (self._callers, self._operators):
+            server.stop()
+        for thread in self._threads:
+            thread.join()
+        _log.info("stopped")
+
+    def _leaving(self) -> bool:
+        return self.state is State.LEAVING
+
+    def _listener(
+        self, address: tuple[str, int], tree: Any, threads: int, client_timeout_s: float, request_timeout_s: float
+    ) -> listener.Listener:
+        server = listener.Listener(
+            address,
+            tree,
+            numthreads=threads,
+            max=threads,
+            server_name="currantlead",
+            request_queue_size=1024,
+            timeout=client_timeout_s,
+            shutdown_timeout=request_timeout_s + client_timeout_s,
+        )
+        server.max_request_body_size = 2 * application.MAX_BODY
+        return server
+
+
+class _Status:
+    """Answer ``/health`` and ``/metrics`` with CherryPy's dispatcher."""
+
+    def __init__(self, border: Border):
+        self._border = border
+
+    @cherrypy.expose
+    def health(self) -> bytes:
+        state = self._border.state
+        response = cherrypy.serving.response
+        response.headers["Content-Type"] = "text/plain"
+        if state is State.LEAVING:
+            response.headers["Connection"] = "close"
+        response.status = 200 if state is State.READY else 503
+        return state.value.encode()
+
+    @cherrypy.expose
+    def metrics(self) -> bytes:
+        cherrypy.serving.response.headers["Content-Type"] = prometheus_client.CONTENT_TYPE_LATEST
+        return prometheus_client.generate_latest(self._border.metrics.registry)
+
+
+class _Operators:
+    """Answer ``POST /operators/commands``."""
+
+    def __init__(self, key_digest: str, command: Callable[[str], dict[str, Any]] | None):
+        self._key_digest = key_digest.lower().encode("ascii")
+        self._command = command
+
+    def __call__(self, environ: dict[str, Any], start_response: Callable[..., Any]) -> list[bytes]:
+        status, payload = self._serve(environ)
+        body = pydantic_core.to_json(payload)
+        start_response(status, [("Content-Type", "application/json"), ("Content-Length", str(len(body)))])
+        return [body]
+
+    def _serve(self, environ: dict[str, Any]) -> tuple[str, dict[str, Any]]:
+        if environ.get("PATH_INFO") != "/commands":
+            return "404 Not Found", {"error": "path: no such route"}
+        if environ["REQUEST_METHOD"] != "POST":
+            return "405 Method Not Allowed", {"error": "method: this route takes POST"}
+        if not self._accepts(environ.get("HTTP_AUTHORIZATION", "")) or self._command is None:
+            return "401 Unauthorized", {"error": "Authorization: is not the operator key"}
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        raw = environ["wsgi.input"].read(length)
+        if len(raw) != length:
+            return "400 Bad Request", {"error": "body: is shorter than Content-Length"}
+        try:
+            return "200 OK", self._command(models.parse(models.CommandBody, raw).text)
+        except pydantic.ValidationError as error:
+            return "400 Bad Request", {"error": models.describe(error)}
+        except errors.CommandError as error:
+            return "400 Bad Request", {"error": str(error), "line": error.line, "column": error.column}
+        except errors.VersionConflictError as error:
+            return "409 Conflict", {"error": str(error)}
+        except Exception as error:
+            _log.opt(exception=error).error("command failed")
+            return "500 Internal Server Error", {"error": f"command failed: {type(error).__name__}"}
+
+    def _accepts(self, header: str) -> bool:
+        scheme, _, key = header.partition(" ")
+        digest = hashlib.sha256(key.encode("latin-1", "replace")).hexdigest().encode("ascii")
+        # compare_digest takes the same time wherever the digests differ.
+        return hmac.compare_digest(digest, self._key_digest) and scheme.lower() == "bearer"
--- /dev/null
+++ b/tests/rates.py
@@ -0,0 +1,206 @@
+"""Support for tests of rates: a loop with controlled time, and fakes of what the admission service needs."""
+
+import asyncio
+import random
+
+import result
+
+from currantlead import errors, interfaces, messages, timers
+from currantlead.admission import service
+from currantlead.control import model
+
+_tasks = set()
+
+
+def _keep(coroutine):
+    task = asyncio.ensure_future(coroutine)
+    _tasks.add(task)
+    task.add_done_callback(_tasks.discard)
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Advance its clock to the next callback instead of waiting for it."""
+
+    def __init__(self):
+        super().__init__()
+        self._virtual = 1000.0
+        select = self._selector.select
+        self._selector.select = lambda timeout: self._skip(timeout, select)
+
+    def time(self):
+        """Return the controlled time."""
+        return self._virtual
+
+    def _skip(self, timeout, select):
+        if timeout:
+            self._virtual += timeout
+        return select(0)
+
+
+class LoopTimers:
+    """Offer the timers of a virtual loop."""
+
+    def now(self):
+        """Return the loop's time."""
+        return asyncio.get_running_loop().time()
+
+    def subscribe(self, name, interval_s, callback):
+        """Call back periodically."""
+        subscription = timers.Subscription(name, interval_s, callback)
+        self.call_after(name, interval_s, lambda: self._repeat(subscription))
+        return subscription
+
+    def call_after(self, name, delay_s, callback):
+        """Call back once."""
+        subscription = timers.Subscription(name, None, callback)
+        asyncio.get_running_loop().call_later(delay_s, self._call, subscription)
+        return subscription
+
+    def _repeat(self, subscription):
+        if not subscription.cancelled:
+            self._call(subscription)
+            self.call_after(subscription.name, subscription.interval_s, lambda: self._repeat(subscription))
+
+    def _call(self, subscription):
+        found = None if subscription.cancelled else subscription.callback()
+        if found is not None:
+            _keep(found)
+
+
+class Directory:
+    """Hold the shared state."""
+
+    def __init__(self, configuration, views, shares):
+        self.configuration = configuration
+        self.views = views
+        self.shares = shares
+        self.groups = {}
+        self._callbacks = []
+
+    def subscribe(self, callback):
+        """Note a subscriber."""
+        self._callbacks.append(callback)
+
+    def change(self, **values):
+        """Replace parts of the state and tell the subscribers."""
+        for name, value in values.items():
+            setattr(self, name, value)
+            for callback in self._callbacks:
+                callback(name, "current")
+
+
+class Membership:
+    """Assign each organisation to the VM that a table names."""
+
+    def __init__(self, vm, domain, owners):
+        self._vm, self._domain, self._owners = vm, domain, owners
+        self.since = 0.0
+
+    def owns(self, organisation):
+        """Tell whether the table names this VM."""
+        return self._owners.get(self._domain) == self._vm
+
+    def owned_since(self, organisation):
+        """Return when ownership became active."""
+        return self.since
+
+    def owner(self, organisation, domain):
+        """Return the VM that the table names."""
+        return self._owners.get(domain)
+
+
+class Network:
+    """Carry frames between services with a delay; ``cut`` VMs are unreachable."""
+
+    def __init__(self, seed=1):
+        self.handlers = {}
+        self.domains = {}
+        self.cut = set()
+        self.sent = 0
+        self._random = random.Random(seed)
+
+    def delay(self, source, target):
+        """Return the one-way delay in seconds."""
+        return (0.0015 if self.domains[source] != self.domains[target] else 0.0003) * self._random.uniform(1, 2)
+
+
+class Peers:
+    """Offer the streams of one VM."""
+
+    def __init__(self, network, vm, domain):
+        self.member = model.Member(vm, domain, 1, "127.0.0.1:1")
+        self._network = network
+        network.domains[vm] = domain
+
+    def handler(self, kind):
+        """Register a handler."""
+
+        def register(function):
+            self._network.handlers[self.member.vm] = function
+            return function
+
+        return register
+
+    async def request(self, vm, kind, body, *, timeout_s):
+        """Deliver a frame and its reply after a delay each."""
+        self._network.sent += 1
+        if {vm, self.member.vm} & self._network.cut:
+            await asyncio.sleep(timeout_s)
+            raise errors.PeerAnswerLostError("cut")
+        await asyncio.sleep(self._network.delay(self.member.vm, vm))
+        reply = await self._network.handlers[vm](self.member.vm, body)
+        await asyncio.sleep(self._network.delay(vm, self.member.vm))
+        return reply
+
+    def notify(self, vm, kind, body):
+        """Deliver a frame after a delay."""
+        self._network.sent += 1
+        if not {vm, self.member.vm} & self._network.cut:
+            _keep(self._later(vm, body))
+
+    async def _later(self, vm, body):
+        await asyncio.sleep(self._network.delay(self.member.vm, vm))
+        await self._network.handlers[vm](self.member.vm, body)
+
+
+def cluster(vms, rate, burst, domains=("a", "b", "c"), organisations=("tenant",), platform=None):
+    """Build the services of some VMs that are spread over domains; the first VM of a domain owns its buckets."""
+    network = Network()
+    names = {f"vm{number}": domains[number % len(domains)] for number in range(vms)}
+    owners = {domain: next(vm for vm in names if names[vm] == domain) for domain in domains}
+    views = {
+        domain: model.View(domain, 1, tuple(model.Member(vm, domain, 1, "") for vm in names if names[vm] == domain))
+        for domain in domains
+    }
+    configuration = model.Configuration(
+        1, organisations={name: model.Organisation(name, rate, burst) for name in organisations}
+    )
+    directory = Directory(configuration, views, model.Shares(1, dict.fromkeys(domains, 1 / len(domains))))
+    services = {
+        vm: service.Service(
+            directory, Membership(vm, domain, owners), Peers(network, vm, domain), LoopTimers(), platform
+        )
+        for vm, domain in names.items()
+    }
+    return services, network, directory, owners
+
+
+def run(coroutine):
+    """Run a coroutine on a virtual loop."""
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        return runner.run(coroutine)
+
+
+class Echo:
+    """Answer each statement with its own parameters."""
+
+    def __init__(self):
+        self.requests = []
+        self.delay_s = 0.0
+
+    async def handle(self, request):
+        """Complete the request."""
+        self.requests.append(request)
+        await asyncio.sleep(self.delay_s)
+        answer = messages.Answer(request.request, ("value",), (tuple(request.params),), transaction="vm1.7")
+        return interfaces.CallerReply(result.Ok(answer), {"ledger": messages.Position(1, 2)})
