--- a/src/currantlead/connections/acknowledgement.py
+++ b/src/currantlead/connections/acknowledgement.py
@@ -101,11 +101,11 @@
         except TimeoutError:
             return False
 
-    def observe(self, name: str, status: endpoint.Status, now: float) -> None:
-        """Take a replica's answer into account; one of another term proves nothing."""
+    def observe(self, name: str, status: endpoint.Status, now: float) -> bool:
+        """Take a replica's answer into account; return False for one of another term, which proves nothing."""
         if self._closed or status.term != self.term or status.instance != name:
             self._lose(name)
-            return
+            return False
         self._contact[name] = now
         self._failed.discard(name)
         if status.received_index > self._received.get(name, -1):
@@ -113,6 +113,7 @@
             self._advance()
         if self._majority_reachable() or len(self._contact.keys() | self._failed) == len(self._replicas):
             self._known.set()
+        return True
 
     def _advance(self) -> None:
         # The primary has every index that it answered with, so one replica less makes a majority.
@@ -165,7 +166,6 @@
                 self._lose(name)
                 await asyncio.sleep(PAUSE_S)
                 continue
-            self.observe(name, outcome.ok_value, asked)
-            if outcome.ok_value.term != self.term:
+            if not self.observe(name, outcome.ok_value, asked):
                 await asyncio.sleep(PAUSE_S)
             wait_s = POLL_S
