--- a/tests/standins/endpoint.py
+++ b/tests/standins/endpoint.py
@@ -18,41 +18,12 @@
 import aiohttp
 from aiohttp import web, web_protocol
 
-from tests.standins import database, replication
+from tests.standins import controls, database, replication
 
 # A statement that waits longer for a lock or slot is refused before it runs, so that its sender can give way.
 BUSY_S = 0.1
 
 
-class FaultError(Exception):
-    """Refuse a request before it is executed."""
-
-    def __init__(self, status: int, error: str, **more: Any):
-        super().__init__(error)
-        self.status = status
-        self.body = {"error": error, **more}
-
-
-@dataclasses.dataclass(slots=True)
-class Controls:
-    """Hold the limits and faults that ``POST /control`` changes."""
-
-    slots: int = 5
-    connections: int = 50
-    connect_time_s: float = 0.0
-    statement_s: float = 0.0
-    delay_s: float = 0.0
-    answer_delay_s: float = 0.0
-    lag_s: float = 0.0
-    receive_lag_s: float = 0.0
-    lose_answers: int = 0
-    truncate_answers: int = 0
-    duplicate_answers: int = 0
-    cross_answers: int = 0
-    leaving: bool = False
-    cut_from: list[str] = dataclasses.field(default_factory=list)
-
-
 class _Protocol(web_protocol.RequestHandler):
     """Tell the instance when a TCP connection is closed."""
 
@@ -81,9 +52,9 @@
 class Instance:
     """Serve one endpoint instance."""
 
-    def __init__(self, name: str, group: str, *, data: str | None = None, **controls: Any):
+    def __init__(self, name: str, group: str, *, data: str | None = None, **limits: Any):
         self.name, self.group = name, group
-        self.controls = Controls(**controls)
+        self.controls = controls.Controls(**limits)
         self.replica = replication.Replica(name, database.Log(data), self.controls, self._reset_sessions)
         self.counts = {"statements": 0, "most_running": 0, "most_connections": 0}
         self._connections: dict[str, _Connection] = {}
@@ -126,11 +97,8 @@
         self.replica.log.close()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        peer = request.headers.get("X-Peer", "")
-        while request.path != "/control" and ("*" in self.controls.cut_from or peer in self.controls.cut_from):
-            if request.transport is None or request.transport.is_closing():
-                return web.Response(status=500)
-            await asyncio.sleep(0.02)
+        if not await self._wait_while_cut(request):
+            return web.Response(status=500)
         route = self._routes.get((request.method, request.path))
         if route is None:
             return web.json_response({"error": "unknown_route"}, status=404)
@@ -138,42 +106,53 @@
         try:
             body = await request.json() if request.method == "POST" else dict(request.query)
             answer = await route(body, request)
-        except FaultError as fault:
+        except controls.FaultError as fault:
             status, answer = fault.status, fault.body
         response = web.json_response(answer, status=status)
+        await self._wait_while_cut(request)
         if "X-Request-Id" in request.headers:
             response.headers["X-Request-Id"] = request.headers["X-Request-Id"]
         if request.path in ("/execute", "/begin", "/commit", "/rollback"):
             await self._spoil(request, response)
         return response
 
+    async def _wait_while_cut(self, request: web.BaseRequest) -> bool:
+        """Hold a request or an answer back; return False if its connection was closed meanwhile."""
+        peer = request.headers.get("X-Peer", "")
+        while request.path != "/control" and self.controls.is_cut(peer):
+            if request.transport is None or request.transport.is_closing():
+                return False
+            await asyncio.sleep(0.02)
+        return True
+
     async def _spoil(self, request: web.BaseRequest, response: web.Response) -> None:
-        controls = self.controls
-        await asyncio.sleep(controls.answer_delay_s) if controls.answer_delay_s else None
+        faults = self.controls
+        if faults.answer_delay_s:
+            await asyncio.sleep(faults.answer_delay_s)
         head = f"HTTP/1.1 {response.status} OK\r\nContent-Type: application/json\r\n"
         head += f"X-Request-Id: {request.headers.get('X-Request-Id', '')}\r\n"
         raw = f"{head}Content-Length: {len(response.body)}\r\n\r\n".encode() + response.body
         if request.transport is None:
             return
-        if controls.lose_answers > 0:
-            controls.lose_answers -= 1
+        if faults.lose_answers > 0:
+            faults.lose_answers -= 1
             request.transport.abort()
-        elif controls.truncate_answers > 0:
-            controls.truncate_answers -= 1
+        elif faults.truncate_answers > 0:
+            faults.truncate_answers -= 1
             request.transport.write(raw[:-5])
             request.transport.close()
-        elif controls.duplicate_answers > 0:
-            controls.duplicate_answers -= 1
+        elif faults.duplicate_answers > 0:
+            faults.duplicate_answers -= 1
             request.transport.write(raw)
-        elif controls.cross_answers > 0:
-            controls.cross_answers -= 1
+        elif faults.cross_answers > 0:
+            faults.cross_answers -= 1
             response.headers["X-Request-Id"] = "another-request"
 
     async def _connect(self, body: dict[str, Any], request: web.BaseRequest) -> dict[str, Any]:
         if self.controls.leaving:
-            raise FaultError(503, "leaving")
+            raise controls.FaultError(503, "leaving")
         if len(self._connections) + self._opening >= self.controls.connections:
-            raise FaultError(503, "too_many_connections")
+            raise controls.FaultError(503, "too_many_connections")
         self._opening += 1
         try:
             await asyncio.sleep(self.controls.connect_time_s)
@@ -214,19 +193,19 @@
         except (sqlite3.Error, sqlite3.Warning, OverflowError) as error:
             if alone or not session.in_transaction:
                 session.rollback()
-            raise FaultError(422, "sql_error", detail=str(error)) from None
+            raise controls.FaultError(422, "sql_error", detail=str(error)) from None
         applied = self.replica.applied_time()
         return {**answer, "term": self.replica.term, "index": self.replica.log.applied, "applied_time": applied}
 
     async def _begin(self, body: dict[str, Any], request: web.BaseRequest) -> dict[str, Any]:
         connection = self._check({**body, "access": "write"}, request)
         if connection.session.in_transaction:
-            raise FaultError(409, "in_transaction")
+            raise controls.FaultError(409, "in_transaction")
         await self._lock(connection)
         try:
             self._check({**body, "access": "write"}, request)
             connection.session.begin()
-        except FaultError:
+        except controls.FaultError:
             self._unlock(connection)
             raise
         return {"term": self.replica.term, "index": self.replica.log.applied}
@@ -234,7 +213,7 @@
     async def _commit(self, body: dict[str, Any], request: web.BaseRequest) -> dict[str, Any]:
         connection = self._check({**body, "access": "write"}, request)
         if not connection.session.in_transaction:
-            raise FaultError(409, "no_transaction")
+            raise controls.FaultError(409, "no_transaction")
         async with self._slot():
             self._check({**body, "access": "write"}, request)
             statements = connection.session.commit()
@@ -261,22 +240,20 @@
         return {**await self._status(), "received_index": received}
 
     async def _log(self, query: dict[str, Any], _: Any) -> dict[str, Any]:
-        if query["name"] in self.controls.cut_from:
-            raise FaultError(503, "cut")
         records = await self.replica.serve(int(query["term"]), int(query["after"]), int(query["after_term"]))
         if records is None:
-            raise FaultError(409, "stale_term", term=self.replica.term)
+            raise controls.FaultError(409, "stale_term", term=self.replica.term)
         return records
 
     async def _term(self, body: dict[str, Any], _: Any) -> dict[str, Any]:
         if not self.replica.set_term(body):
-            raise FaultError(409, "stale_term", term=self.replica.term)
+            raise controls.FaultError(409, "stale_term", term=self.replica.term)
         return await self._status()
 
     async def _control(self, body: dict[str, Any], _: Any) -> dict[str, Any]:
         for name, value in body.items():
-            if name not in Controls.__dataclass_fields__:
-                raise FaultError(400, "unknown_control", name=name)
+            if name not in controls.Controls.__dataclass_fields__:
+                raise controls.FaultError(400, "unknown_control", name=name)
             setattr(self.controls, name, value)
         self._slot_freed.set()
         return dataclasses.asdict(self.controls)
@@ -284,31 +261,31 @@
     def _check(self, body: dict[str, Any], request: web.BaseRequest) -> _Connection:
         connection = self._connections.get(body.get("connection", ""))
         if connection is None or connection.protocol is not request.protocol:
-            raise FaultError(409, "unknown_connection")
+            raise controls.FaultError(409, "unknown_connection")
         if body["term"] != self.replica.term:
-            raise FaultError(409, "stale_term", term=self.replica.term)
+            raise controls.FaultError(409, "stale_term", term=self.replica.term)
         if body.get("access") == "write" and self.replica.role != "primary":
-            raise FaultError(409, "not_primary")
+            raise controls.FaultError(409, "not_primary")
         if self.controls.leaving and not connection.session.in_transaction:
-            raise FaultError(503, "leaving")
+            raise controls.FaultError(503, "leaving")
         return connection
 
     def _check_position(self, body: dict[str, Any]) -> None:
         index = self.replica.log.applied
         if body.get("min_index") is not None and index < body["min_index"]:
-            raise FaultError(412, "behind", index=index)
+            raise controls.FaultError(412, "behind", index=index)
         if body.get("min_time") is not None and self.replica.applied_time() < body["min_time"]:
-            raise FaultError(412, "behind", index=index)
+            raise controls.FaultError(412, "behind", index=index)
 
     async def _lock(self, connection: _Connection) -> None:
         try:
             await asyncio.wait_for(self._write_lock.acquire(), BUSY_S)
         except TimeoutError:
-            raise FaultError(503, "busy") from None
+            raise controls.FaultError(503, "busy") from None
         connection.owns_lock = True
         if connection.number not in self._connections:
             self._unlock(connection)
-            raise FaultError(409, "unknown_connection")
+            raise controls.FaultError(409, "unknown_connection")
 
     def _unlock(self, connection: _Connection) -> None:
         if connection.owns_lock:
@@ -323,7 +300,7 @@
             try:
                 await asyncio.wait_for(self._slot_freed.wait(), max(0.0, deadline - time.monotonic()))
             except TimeoutError:
-                raise FaultError(503, "busy") from None
+                raise controls.FaultError(503, "busy") from None
         self._running += 1
         self.counts["most_running"] = max(self.counts["most_running"], self._running)
         try:
--- a/tests/standins/replication.py
+++ b/tests/standins/replication.py
@@ -164,10 +164,10 @@
 
     async def _pull(self, epoch: int) -> None:
         while epoch == self._epoch:
-            answer = await self._ask() if self.primary not in self._controls.cut_from else None
+            answer = None if self._controls.is_cut(self.primary) else await self._ask()
             if epoch != self._epoch:
                 return
-            if answer is None:
+            if answer is None or self._controls.is_cut(self.primary):
                 await asyncio.sleep(0.05)
                 continue
             self._contact = time.monotonic()
