Change the configuration by conditional updates

Cause: operators race, and the platform may lose the answer to a write that took effect.

Change: Store.change writes parts, then the index by one conditional update. Store.collect removes parts that were unused for ten minutes; it first rewrites the index, so a change that was paused after it wrote its parts cannot name removed ones.

--- a/src/currantlead/control/configuration.py
+++ b/src/currantlead/control/configuration.py
@@ -175,7 +175,7 @@
     places = _validate(_Places, value, label)
     decoded: dict[str, Mapping[str, Any]] = {"instances": places.instances, "vms": places.vms}
     for kind, (_, build) in _KINDS.items():
-        decoded[kind] = {name: build(name=name, **dict(entry)) for name, entry in getattr(places, kind).items()}
+        decoded[kind] = {name: build(name=name, **_values(entry)) for name, entry in getattr(places, kind).items()}
     return decoded
 
 
@@ -235,7 +235,7 @@
     misplaced = next((name for name in members if shard(name) != label), None)
     if misplaced is not None:
         raise errors.MalformedObjectError(f"{label}.organisations.{misplaced}: belongs to {shard(misplaced)}")
-    return {name: model.Organisation(name=name, **dict(entry)) for name, entry in members.items()}
+    return {name: model.Organisation(name=name, **_values(entry)) for name, entry in members.items()}
 
 
 def _fields(key: str, value: Any) -> dict[str, Any]:
@@ -244,6 +244,11 @@
     return {field.name: getattr(value, field.name) for field in dataclasses.fields(value) if field.name != "name"}
 
 
+def _values(entry: _Stored) -> dict[str, Any]:
+    # ``dict(entry)`` fails on a model with a field named ``keys``.
+    return {name: getattr(entry, name) for name in type(entry).model_fields}
+
+
 def _places(configuration: model.Configuration) -> dict[str, Any]:
     places: dict[str, Any] = {
         kind: {name: _fields(name, entry) for name, entry in getattr(configuration, kind).items()} for kind in _KINDS
--- /dev/null
+++ b/src/currantlead/control/store.py
@@ -0,0 +1,292 @@
+"""Reads and conditional updates of the configuration at the platform."""
+
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Any
+
+import result
+
+from currantlead import errors, interfaces, logs
+from currantlead.control import configuration, directory, model
+
+_log = logs.part("store")
+
+Mutate = Callable[[model.Configuration], model.Configuration]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Conflict:
+    """Report that another change came first; nothing was stored.
+
+    Attributes:
+        number: Number of the current configuration.
+        detail: One sentence for the operator.
+    """
+
+    number: int
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """Report that the change or the stored configuration is not valid; nothing was stored."""
+
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unavailable:
+    """Report that the platform gave no usable answer in time.
+
+    Attributes:
+        detail: One sentence for the operator.
+        may_be_stored: Whether the change may have been stored; repeating it with the same change id is safe.
+    """
+
+    detail: str
+    may_be_stored: bool
+
+
+Fault = Conflict | Refused | Unavailable
+Outcome = result.Result[int, Fault]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Current:
+    index: configuration.Index | None
+    version: int
+
+    @property
+    def number(self) -> int:
+        return 0 if self.index is None else self.index.number
+
+    @property
+    def parts(self) -> dict[str, str]:
+        return {} if self.index is None else self.index.parts
+
+    @property
+    def recent(self) -> tuple[configuration.Change, ...]:
+        return () if self.index is None else self.index.recent
+
+
+@dataclasses.dataclass(slots=True)
+class _Attempt:
+    mutate: Mutate
+    change_id: str
+    expected_number: int | None
+    unsure: _Current | None = None
+    accepted: bool = False
+    number: int = 0
+
+
+class Store:
+    """Change the configuration by one conditional update of its index.
+
+    Args:
+        platform: The platform's client.
+        now: Monotonic clock reading in seconds.
+        cache: Directory whose parts need not be read from the platform, or None.
+        deadline_s: How long a change is tried while the platform does not answer or others change it.
+        retry_s: Pause before another try after a call without a usable answer.
+        grace_s: How long a part must be unused before ``collect`` removes it. VMs learn of a newer index within
+            seconds; the default leaves them ten minutes to stop fetching the parts of an older one.
+        sleep: Replaced in tests.
+    """
+
+    def __init__(
+        self,
+        platform: interfaces.Platform,
+        now: Callable[[], float],
+        *,
+        cache: directory.Directory | None = None,
+        deadline_s: float = 5.0,
+        retry_s: float = 0.2,
+        grace_s: float = 600.0,
+        sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
+    ) -> None:
+        self._platform = platform
+        self._now = now
+        self._cache = cache
+        self._deadline_s = deadline_s
+        self._retry_s = retry_s
+        self._grace_s = grace_s
+        self._sleep = sleep
+        self._texts: dict[str, str] = {}
+        self._unused: dict[tuple[str, int], float] = {}
+
+    async def read(self) -> model.Configuration:
+        """Return the stored configuration; number 0 if there is none.
+
+        Raises:
+            errors.PlatformUnavailableError: No usable answer.
+            errors.MalformedObjectError: The stored configuration is not valid.
+        """
+        return await self._load(await self._read_index())
+
+    async def change(self, mutate: Mutate, change_id: str, *, expected_number: int | None = None) -> Outcome:
+        """Change the stored configuration.
+
+        Args:
+            mutate: Returns the changed configuration; raises ``errors.CurrantleadError`` if it does not accept the
+                given one. It is called again if another change came first.
+            change_id: Unique id of this change; a repeated call with the same id stores the change once.
+            expected_number: Number of the configuration that the operator saw, or None to accept a newer one.
+
+        Returns:
+            The number under which the change is stored, or the fault.
+        """
+        attempt = _Attempt(mutate, change_id, expected_number)
+        deadline = self._now() + self._deadline_s
+        while True:
+            try:
+                return await self._try(attempt)
+            except errors.VersionConflictError as error:
+                fault: Fault = Conflict(attempt.number, f"others kept changing the configuration: {error}")
+                pause_s = 0.0
+            except errors.PlatformUnavailableError as error:
+                fault = Unavailable(f"the platform gave no answer: {error}", attempt.unsure is not None)
+                pause_s = self._retry_s
+            except errors.MalformedObjectError as error:
+                return result.Err(Refused(f"the stored configuration is not valid: {error}"))
+            if self._now() + pause_s >= deadline:
+                if attempt.unsure is not None:
+                    fault = Unavailable("the platform did not tell whether the change was stored", True)
+                return result.Err(fault)
+            await self._sleep(pause_s)
+
+    async def collect(self) -> int:
+        """Remove parts that have been unused for the grace time; call it every few minutes on one VM.
+
+        Returns:
+            The number of removed parts.
+
+        Raises:
+            errors.PlatformUnavailableError: No usable answer; the next call continues.
+            errors.VersionConflictError: The configuration changed meanwhile; the next call continues.
+        """
+        current = await self._read_index()
+        due = self._find_unused(current, await self._platform.names(configuration.PART_KIND))
+        if not due or current.index is None:
+            return 0
+        # Rewriting the index makes the conditional update of every change that read it before fail. Such a change
+        # may have written its parts long ago; a change that reads the index from here on writes them again, which
+        # gives them a new version and makes the removals below fail.
+        await self._write_index(current.index, current.version)
+        removed = 0
+        for name, version in due:
+            with contextlib.suppress(errors.VersionConflictError):
+                await self._platform.remove(configuration.PART_KIND, name, if_version=version)
+                removed += 1
+        _log.info("{} unused parts removed", removed)
+        return removed
+
+    def _find_unused(self, current: _Current, present: Any) -> list[tuple[str, int]]:
+        used = set(current.parts.values())
+        now = self._now()
+        unused = {(name, version) for name, version in present.items() if name not in used}
+        self._unused = {key: self._unused.get(key, now) for key in unused}
+        return sorted(key for key, since in self._unused.items() if now - since >= self._grace_s)
+
+    async def _try(self, attempt: _Attempt) -> Outcome:
+        current = await self._read_index()
+        attempt.number = current.number
+        settled = self._settle(attempt, current)
+        if settled is not None:
+            return settled
+        old = await self._load(current)
+        try:
+            new = dataclasses.replace(attempt.mutate(old), number=old.number)
+            encoded = configuration.encode(new)
+        except errors.CurrantleadError as error:
+            if attempt.accepted:
+                return result.Err(Conflict(current.number, f"refused after another change: {error}"))
+            return result.Err(Refused(str(error)))
+        attempt.accepted = True
+        if new == old and attempt.unsure is None:
+            return result.Ok(current.number)
+        await self._write_parts(encoded, current)
+        return await self._write_change(attempt, current, encoded)
+
+    def _settle(self, attempt: _Attempt, current: _Current) -> Outcome | None:
+        """Answer a change that needs no further write, or return None."""
+        stored = None if current.index is None else current.index.stored_as(attempt.change_id)
+        if stored is not None:
+            return result.Ok(stored)
+        if attempt.unsure is not None and attempt.unsure.version != current.version:
+            if attempt.unsure.number + 1 < min(
+                (change.number for change in current.recent), default=current.number + 1
+            ):
+                return result.Err(Unavailable("too many later changes to tell whether the change was stored", True))
+            # The conditional update can no longer take effect, since the index has another version.
+            attempt.unsure = None
+        if attempt.expected_number not in (None, current.number):
+            detail = f"the configuration has number {current.number}, not {attempt.expected_number}"
+            return result.Err(Conflict(current.number, detail))
+        return None
+
+    async def _write_change(self, attempt: _Attempt, current: _Current, encoded: configuration.Encoded) -> Outcome:
+        number = current.number + 1
+        change = configuration.Change(number=number, change_id=attempt.change_id)
+        index = configuration.Index(
+            number=number,
+            change_id=attempt.change_id,
+            parts=dict(encoded.labels),
+            recent=(*current.recent, change)[-configuration.RECENT_CHANGES :],
+        )
+        try:
+            await self._write_index(index, current.version)
+        except errors.PlatformUnavailableError:
+            attempt.unsure = current
+            raise
+        self._texts = dict(encoded.texts)
+        _log.info("configuration {} of change {} stored", number, attempt.change_id)
+        return result.Ok(number)
+
+    async def _write_index(self, index: configuration.Index, if_version: int) -> None:
+        value = configuration.encode_index(index)
+        await self._platform.write(configuration.INDEX_KIND, configuration.INDEX_NAME, value, if_version=if_version)
+
+    async def _read_index(self) -> _Current:
+        stored = await self._platform.read(configuration.INDEX_KIND, configuration.INDEX_NAME)
+        if stored is None:
+            return _Current(None, 0)
+        return _Current(configuration.decode_index(stored.value), stored.version)
+
+    async def _load(self, current: _Current) -> model.Configuration:
+        self._texts = {name: text for name, text in self._texts.items() if name in current.parts.values()}
+        missing = [name for name in current.parts.values() if name not in self._texts]
+        await _gather(self._read_part(name) for name in missing)
+        return configuration.decode(current.number, current.parts, self._texts)
+
+    async def _read_part(self, name: str) -> None:
+        stored = self._cache.get(configuration.PART_KIND, name) if self._cache is not None else None
+        if stored is None:
+            stored = await self._platform.read(configuration.PART_KIND, name)
+        if stored is None:
+            # Normal only if a newer index replaced the one that was read; the caller reads it again.
+            raise errors.PlatformUnavailableError(f"part {name} of the configuration is missing")
+        self._texts[name] = configuration.part_text(name, stored.value)
+
+    async def _write_parts(self, encoded: configuration.Encoded, current: _Current) -> None:
+        known = set(current.parts.values())
+        await _gather(self._write_part(name, text) for name, text in encoded.texts.items() if name not in known)
+
+    async def _write_part(self, name: str, text: str) -> None:
+        value = configuration.part_value(text)
+        try:
+            await self._platform.write(configuration.PART_KIND, name, value, if_version=0)
+        except errors.VersionConflictError:
+            # The part exists but the index does not name it, so it may be about to be removed; a new version
+            # prevents that.
+            stored = await self._platform.read(configuration.PART_KIND, name)
+            version = 0 if stored is None else stored.version
+            await self._platform.write(configuration.PART_KIND, name, value, if_version=version)
+
+
+async def _gather(calls: Iterable[Awaitable[None]]) -> None:
+    """Wait for all calls, so that none is left under way, then raise the first error."""
+    for outcome in await asyncio.gather(*calls, return_exceptions=True):
+        if isinstance(outcome, BaseException):
+            raise outcome
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,301 @@
+"""Tests of the conditional updates of the configuration, with faults in a table and a state machine."""
+
+import asyncio
+import dataclasses
+import random
+
+import hypothesis
+import pytest
+import result
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from currantlead import errors
+from currantlead.control import configuration, directory, model, store
+from tests.standins import memory
+
+
+class Clock:
+    """Hold a clock that pauses move."""
+
+    def __init__(self):
+        self.reading = 0.0
+
+    def now(self):
+        """Return the reading."""
+        return self.reading
+
+    async def sleep(self, seconds):
+        """Move the clock at once."""
+        self.reading += max(seconds, 0.01)
+
+
+class CheckedPlatform(memory.MemoryPlatform):
+    """Check at each write of the index that its parts exist, and keep every configuration ever in force."""
+
+    def __init__(self):
+        super().__init__()
+        self.truth = {}
+        self.pushes = []
+
+    async def write(self, kind, name, value, *, if_version):
+        """Write an object; record it for later pushes."""
+        try:
+            return await super().write(kind, name, value, if_version=if_version)
+        finally:
+            stored = self.objects.get(kind, {}).get(name)
+            if stored is not None and stored.version == self.revision:
+                self.pushes.append(stored)
+                if kind == "configuration":
+                    self.record(stored.value)
+
+    def record(self, value):
+        """Decode the configuration that an index names; fail if a part is missing."""
+        texts = {part: self.objects["parts"][part].value["text"] for part in value["parts"].values()}
+        decoded = configuration.decode(value["number"], value["parts"], texts)
+        assert self.truth.setdefault(value["number"], decoded) == decoded, "a number stands for two configurations"
+
+
+def add(name, **fields):
+    """Return a change that adds an organisation."""
+
+    def mutate(old):
+        if name in old.organisations:
+            raise errors.CommandError(f"{name} exists")
+        organisation = model.Organisation(name, **{"rate": 1.0, "burst": 1.0, **fields})
+        return dataclasses.replace(old, organisations={**old.organisations, name: organisation})
+
+    return mutate
+
+
+def operator(platform, clock, **options):
+    """Return a store that waits on the test's clock."""
+    return store.Store(platform, clock.now, sleep=clock.sleep, **options)
+
+
+@pytest.fixture
+def clock():
+    """Return a clock at 0."""
+    return Clock()
+
+
+@pytest.fixture
+def platform():
+    """Return an empty platform."""
+    return CheckedPlatform()
+
+
+# Calls of a first change: read of the index, writes of two parts, write of the index.
+FAULTS = {
+    "none": [],
+    "read fails": ["down"],
+    "part fails": [None, "down"],
+    "answer to a part lost": [None, "lost", "lost"],
+    "index not written": [None, None, None, "down"],
+    "answer to the index lost": [None, None, None, "lost"],
+    "lost, then an outage": [None, None, None, "lost", "down", "down", "down"],
+    "not written, then lost": [None, None, None, "down", None, None, None, None, None, "lost"],
+}
+
+
+@pytest.mark.parametrize("faults", FAULTS.values(), ids=FAULTS.keys())
+async def test_change_is_stored_once(platform, clock, faults):
+    """A fault at any call neither loses the change nor stores it twice."""
+    platform.faults.extend(faults)
+    assert await operator(platform, clock).change(add("a"), "c1") == result.Ok(1)
+    assert list(platform.truth) == [1]
+    assert await operator(platform, clock).change(add("a"), "c1") == result.Ok(1)
+
+
+@pytest.mark.parametrize(
+    ("expected", "name", "outcome"),
+    [(None, "b", result.Ok), (None, "a", store.Conflict), (0, "b", store.Conflict), (7, "b", store.Conflict)],
+)
+async def test_race_of_two_operators(platform, clock, expected, name, outcome):
+    """An operator who loses a race is applied to the newer configuration or told its number; nothing is overwritten."""
+
+    async def other():
+        platform.faults.clear()
+        assert await operator(platform, clock).change(add("a"), "c1") == result.Ok(1)
+
+    platform.faults.extend([None, None, None, other])
+    answer = await operator(platform, clock).change(add(name), "c2", expected_number=expected)
+    if outcome is result.Ok:
+        assert answer == result.Ok(2)
+    elif expected == 7:
+        assert answer.err_value.number == 0
+    else:
+        assert isinstance(answer.err_value, outcome) and answer.err_value.number == 1
+    if expected != 7:
+        assert "a" in platform.truth[max(platform.truth)].organisations
+
+
+@pytest.mark.parametrize("later", [1, configuration.RECENT_CHANGES + 2])
+async def test_lost_answer_followed_by_other_changes(platform, clock, later):
+    """A stored change is recognised after others; if too many came since, it is called possibly stored."""
+
+    async def others():
+        platform.faults.clear()
+        for number in range(later):
+            await operator(platform, clock).change(add(f"o{number}"), f"o{number}")
+
+    platform.faults.extend([None, None, None, "lost", others])
+    answer = await operator(platform, clock).change(add("a"), "c1")
+    assert "a" in platform.truth[max(platform.truth)].organisations
+    assert answer == result.Ok(1) if later == 1 else answer.err_value.may_be_stored
+
+
+@pytest.mark.parametrize(("faults", "may_be_stored"), [([], False), ([None, None, None, "lost"], True)])
+async def test_outage_ends_in_time(platform, clock, faults, may_be_stored):
+    """During an outage an operator is told within the deadline whether the change may be stored."""
+    platform.faults.extend([*faults, *["down"] * 100])
+    answer = await operator(platform, clock).change(add("a"), "c1")
+    assert answer.err_value.may_be_stored is may_be_stored
+    assert clock.now() <= 5.0
+
+
+@pytest.mark.parametrize("mutate", [add("a", rate=-1.0), add("a", services=("none",))])
+async def test_invalid_change_is_refused(platform, clock, mutate):
+    """A configuration that is not valid is never stored."""
+    answer = await operator(platform, clock).change(mutate, "c1")
+    assert isinstance(answer.err_value, store.Refused) and not platform.objects
+
+
+async def test_removal_waits_and_does_not_break_a_paused_change(platform, clock):
+    """A change that was paused between its parts and its index cannot name parts that were removed meanwhile."""
+    collector = operator(platform, clock)
+    await operator(platform, clock).change(add("a"), "c1")
+
+    async def pause():
+        platform.faults.clear()
+        assert await collector.collect() == 0
+        clock.reading += 599
+        assert await collector.collect() == 0
+        clock.reading += 2
+        assert await collector.collect() == 1
+
+    platform.faults.extend([None, None, None, None, pause])
+    slow = operator(platform, clock, deadline_s=1000.0)
+    assert await slow.change(add("b"), "c2") == result.Ok(2)
+    assert set(platform.truth[2].organisations) == {"a", "b"}
+
+
+async def test_removal_does_not_take_a_part_that_is_used_again(platform, clock):
+    """A change that reuses an unused part after the collector decided to remove it keeps the part."""
+    collector = operator(platform, clock)
+    await operator(platform, clock).change(add("a"), "c1")
+    platform.faults.extend([*[None] * 4, *["down"] * 100])
+    await operator(platform, clock).change(add("b"), "c2")
+    platform.faults.clear()
+    assert await collector.collect() == 0
+    clock.reading += 601
+
+    async def reuse():
+        assert await operator(platform, clock).change(add("b"), "c3") == result.Ok(2)
+
+    platform.faults.extend([None, None, None, reuse])
+    await collector.collect()
+    assert set((await operator(platform, clock).read()).organisations) == {"a", "b"}
+
+
+class Machine(stateful.RuleBasedStateMachine):
+    """Race operators under faults while VMs receive old, repeated and reordered pushes.
+
+    Guards against an older configuration in force, an overwritten change, a lost change, and an index whose parts
+    were removed.
+    """
+
+    faults = st.lists(st.sampled_from([None, None, None, "down", "lost", "race", "collect"]), max_size=12)
+
+    def __init__(self):
+        super().__init__()
+        self.runner = asyncio.Runner()
+        self.clock, self.platform = Clock(), CheckedPlatform()
+        self.operators = [operator(self.platform, self.clock) for _ in range(3)]
+        self.vms = [directory.Directory(self.clock.now) for _ in range(3)]
+        self.numbers = [0, 0, 0]
+        self.accepted, self.refused, self.count = {}, set(), 0
+
+    def teardown(self):
+        """Close the loop."""
+        self.runner.close()
+
+    async def change(self, who, expected=None):
+        """Add an organisation and note the outcome; a later outcome may only confirm an earlier one."""
+        self.count += 1
+        name = f"o{self.count}"
+        answer = await self.operators[who].change(add(name), name, expected_number=expected)
+        if isinstance(answer, result.Ok):
+            self.accepted[name] = answer.ok_value
+            assert expected is None or answer.ok_value == expected + 1
+        elif not getattr(answer.err_value, "may_be_stored", False):
+            self.refused.add(name)
+
+    def script(self, names):
+        """Turn names of faults into faults."""
+
+        async def race():
+            held, self.platform.faults = list(self.platform.faults), type(self.platform.faults)()
+            await self.change(2)
+            self.platform.faults.extend(held)
+
+        async def collect():
+            held, self.platform.faults = list(self.platform.faults), type(self.platform.faults)()
+            await self.run_collect()
+            self.platform.faults.extend(held)
+
+        self.platform.faults.extend({"race": race, "collect": collect}.get(name, name) for name in names)
+
+    async def run_collect(self):
+        """Remove parts twice, a grace time apart."""
+        for pause in (700.0, 0.0):
+            try:
+                await self.operators[1].collect()
+            except errors.CurrantleadError:
+                return
+            self.clock.reading += pause
+
+    @stateful.rule(who=st.integers(0, 1), faults=faults, expects=st.booleans())
+    def operator_changes(self, who, faults, expects):
+        """An operator makes a change under faults."""
+        expected = max(self.platform.truth, default=0) if expects else None
+        self.script(faults)
+        self.runner.run(self.change(who, expected))
+        self.platform.faults.clear()
+
+    @stateful.rule(faults=faults)
+    def collector_runs(self, faults):
+        """Unused parts are removed under faults."""
+        self.script(faults)
+        self.runner.run(self.run_collect())
+        self.platform.faults.clear()
+
+    @stateful.rule(vm=st.integers(0, 2), seed=st.integers(0, 10**6), share=st.floats(0, 1))
+    def relay_pushes(self, vm, seed, share):
+        """A relay, perhaps one that was paused for long, pushes any of the objects that ever existed."""
+        dice = random.Random(seed)
+        pushed = [stored for stored in self.platform.pushes if dice.random() < share]
+        dice.shuffle(pushed)
+        self.vms[vm].apply(pushed + pushed[:2])
+
+    @stateful.invariant()
+    def configurations_only_advance(self):
+        """Each VM has a configuration that was stored, and never an older one than before."""
+        for vm, cache in enumerate(self.vms):
+            number = cache.configuration.number
+            assert number >= self.numbers[vm]
+            assert number == 0 or cache.configuration == self.platform.truth[number]
+            self.numbers[vm] = number
+
+    @stateful.invariant()
+    def changes_are_kept(self):
+        """Every stored change is in all later configurations, and no refused one is in any."""
+        for number, stored in self.platform.truth.items():
+            known = set(stored.organisations)
+            assert not known & self.refused
+            assert {name for name, at in self.accepted.items() if at <= number} <= known
+        assert sorted(self.platform.truth) == list(range(1, len(self.platform.truth) + 1))
+
+
+TestMachine = Machine.TestCase
+TestMachine.settings = hypothesis.settings(stateful_step_count=25)
