Fan out changed objects from two relays of a domain

Cause: 600 VMs cannot all watch the store.

Change: relays watch the four kinds and push changed objects and missing parts to the members of their view; every VM answers pulls and pulls from a peer whose numbers are higher. A starting VM asks up to three peers before it reads from the store what is newer there.

--- /dev/null
+++ b/src/currantlead/control/relay.py
@@ -0,0 +1,290 @@
+"""Task that brings changes of platform objects to this VM and, on two VMs of each domain, to the whole domain."""
+
+import asyncio
+from collections.abc import Callable, Coroutine, Iterable, Sequence
+from typing import Any
+
+from currantlead import errors, interfaces, logs, timers, wire
+from currantlead.control import configuration, directory, exchange, model
+
+RELAYS = 2
+# The end of a wait confirms the configuration with the store. Four kinds and 14 relays make 11 calls/s at the target.
+WATCH_S = 5.0
+RETRY_S = 0.5
+ROLE_S = 0.5
+PEER_TIMEOUT_S = 2.0
+# Peers that are asked at the start, before the store: each answers with its whole state.
+START_PEERS = 3
+READS_AT_ONCE = 16
+_MAX_ROUNDS = 100
+
+_log = logs.part("relay")
+
+Rank = Callable[[str, Sequence[str]], Sequence[str]]
+
+
+class Relay:
+    """Keep a directory up to date from the store, from pushes and from peers.
+
+    A VM that is not a relay makes no call to the store after its start.
+
+    Args:
+        platform: The platform's client.
+        cache: The directory.
+        peers: Streams to other VMs; this registers the handlers of ``objects`` and ``pull``.
+        clock: Timer service.
+        rank: Rendezvous hashing: orders candidates for a key, best first.
+        alive: Hint whether a VM runs. Another VM takes over from a relay that seems dead before the view changes;
+            more than two relays at a time do no harm.
+        seeds: Peers to ask at the start besides connected and listed ones.
+    """
+
+    def __init__(
+        self,
+        platform: interfaces.Platform,
+        cache: directory.Directory,
+        peers: interfaces.Peers,
+        clock: timers.Timers,
+        rank: Rank,
+        *,
+        alive: Callable[[str], bool] = lambda vm: True,
+        seeds: Sequence[str] = (),
+    ) -> None:
+        self._platform = platform
+        self._directory = cache
+        self._peers = peers
+        self._clock = clock
+        self._rank = rank
+        self._alive = alive
+        self._seeds = tuple(seeds)
+        self._loaded = False
+        self._role = asyncio.Event()
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._subscriptions: list[timers.Subscription] = []
+        self._pulling: set[str] = set()
+        self._locks = {kind: asyncio.Lock() for kind in directory.KINDS}
+        peers.handler("objects")(self._take_objects)
+        peers.handler("pull")(self._answer_pull)
+
+    @property
+    def loaded(self) -> bool:
+        """Tell whether the store or a peer has given its state since the start."""
+        return self._loaded
+
+    async def start(self) -> None:
+        """Load the newest state of peers and store, then start the tasks; loading goes on if neither answers."""
+        await self._load()
+        self._subscriptions = [
+            self._clock.subscribe("relay role", ROLE_S, self._check_role),
+            self._clock.subscribe("relay start", RETRY_S, self._load_again),
+        ]
+        self._check_role()
+        for kind in directory.KINDS:
+            self._spawn(self._watch(kind))
+
+    async def stop(self) -> None:
+        """End all tasks."""
+        for subscription in self._subscriptions:
+            subscription.cancel()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def is_relay(self) -> bool:
+        """Tell whether this VM watches the store now.
+
+        It does if it is one of two in its domain's view. A VM outside the view gets no pushes, so it watches for
+        itself until it has joined.
+        """
+        member = self._peers.member
+        view = self._directory.views.get(member.domain)
+        if view is None or view.member(member.vm) is None:
+            return True
+        names = [other.vm for other in view.members if other.vm == member.vm or self._alive(other.vm)]
+        return member.vm in list(self._rank(f"relay/{member.domain}", names))[:RELAYS]
+
+    def numbers(self) -> dict[str, Any]:
+        """Return the numbers that heartbeats carry to ``on_peer_numbers`` of other VMs."""
+        return wire.to_map(exchange.numbers(self._directory))
+
+    def on_peer_numbers(self, vm: str, numbers: dict[str, Any], *, asked_at: float | None = None) -> None:
+        """Compare a peer's numbers with the own state and pull what is newer.
+
+        Args:
+            vm: The peer.
+            numbers: What the peer's ``numbers`` returned.
+            asked_at: Clock reading before the request was sent whose reply carried the numbers, or None if they came
+                unasked; only an answer confirms the configuration, since an unasked frame may be old.
+        """
+        try:
+            theirs = exchange.read_numbers(numbers)
+        except errors.MalformedFrameError as error:
+            _log.warning("numbers of {} ignored: {}", vm, error)
+            return
+        self._compare(vm, theirs, asked_at)
+
+    def _compare(self, vm: str, theirs: exchange.Numbers, asked_at: float | None) -> None:
+        if asked_at is not None and theirs.age_s is not None:
+            self._directory.confirm(theirs.configuration, asked_at - theirs.age_s)
+        if vm not in self._pulling and exchange.plan_pull(self._directory, theirs) is not None:
+            self._pulling.add(vm)
+            self._spawn(self._catch_up(vm, theirs))
+
+    async def _catch_up(self, vm: str, theirs: exchange.Numbers) -> None:
+        try:
+            await self._pull(vm, theirs)
+        finally:
+            self._pulling.discard(vm)
+
+    async def _pull(self, vm: str, theirs: exchange.Numbers) -> bool:
+        """Pull until this VM is no longer behind a peer; return whether the peer gave its whole state."""
+        for _ in range(_MAX_ROUNDS):
+            wanted = exchange.plan_pull(self._directory, theirs)
+            if wanted is None:
+                return True
+            reply = await self._ask(vm, wanted)
+            if reply is None:
+                return False
+            self._directory.apply(reply.stored())
+            if not reply.more:
+                return True
+        _log.warning("pull from {} ended after {} rounds", vm, _MAX_ROUNDS)
+        return False
+
+    async def _ask(self, vm: str, wanted: exchange.Pull) -> exchange.Objects | None:
+        try:
+            body = await self._peers.request(vm, "pull", wire.to_map(wanted), timeout_s=PEER_TIMEOUT_S)
+            return exchange.read_objects(body)
+        except errors.CurrantleadError as error:
+            _log.warning("pull from {} failed: {!r}", vm, error)
+            return None
+
+    async def _answer_pull(self, vm: str, body: dict[str, Any]) -> dict[str, Any]:
+        return exchange.answer_pull(self._directory, body)
+
+    async def _take_objects(self, vm: str, body: dict[str, Any]) -> dict[str, Any]:
+        pushed = exchange.read_objects(body)
+        self._directory.apply(pushed.stored())
+        if pushed.numbers is not None:
+            self._compare(vm, pushed.numbers, None)
+        return {}
+
+    async def _load(self) -> None:
+        await self._learn_listed()
+        for vm in self._start_peers():
+            if await self._load_from(vm):
+                self._loaded = True
+                break
+        try:
+            for kind in directory.KINDS:
+                await self._gather(kind, (await self._platform.names(kind)).items())
+            self._loaded = True
+        except errors.PlatformUnavailableError as error:
+            _log.warning("store not read at the start: {}", error)
+
+    async def _load_from(self, vm: str) -> bool:
+        # An empty request returns only the peer's numbers; they tell what to ask for.
+        reply = await self._ask(vm, exchange.Pull())
+        if reply is None or reply.numbers is None or reply.numbers.configuration == 0:
+            return False
+        return await self._pull(vm, reply.numbers)
+
+    async def _load_again(self) -> None:
+        if not self._loaded:
+            await self._load()
+
+    async def _learn_listed(self) -> None:
+        try:
+            listed = await self._platform.list_vms()
+        except errors.PlatformUnavailableError as error:
+            _log.warning("list of VMs not read: {}", error)
+            return
+        # The list does not tell incarnations; 0 stands for an unknown one.
+        self._peers.learn([model.Member(row.vm, row.domain, 0, row.peer_address) for row in listed])
+        near = [row.vm for row in listed if row.domain == self._peers.member.domain]
+        self._seeds = tuple(dict.fromkeys([*self._seeds, *near, *(row.vm for row in listed)]))
+
+    def _start_peers(self) -> list[str]:
+        known = dict.fromkeys([*self._peers.connected(), *self._seeds])
+        return [vm for vm in known if vm != self._peers.member.vm][:START_PEERS]
+
+    def _check_role(self) -> None:
+        if self.is_relay() == self._role.is_set():
+            return
+        if self._role.is_set():
+            _log.info("this VM is no longer a relay of {}", self._peers.member.domain)
+            self._role.clear()
+        else:
+            _log.info("this VM is a relay of {}", self._peers.member.domain)
+            self._role.set()
+
+    async def _watch(self, kind: str) -> None:
+        since = 0
+        while True:
+            if not self._role.is_set():
+                # The first watch of a new relay starts from the beginning, since changes may have passed unseen.
+                since = 0
+                await self._role.wait()
+            try:
+                since = await self._watch_once(kind, since)
+            except errors.PlatformUnavailableError as error:
+                _log.warning("watch of {} failed: {}", kind, error)
+                await asyncio.sleep(RETRY_S)
+            except Exception as error:
+                _log.opt(exception=error).error("watch of {} failed", kind)
+                await asyncio.sleep(RETRY_S)
+
+    async def _watch_once(self, kind: str, since: int) -> int:
+        asked_at = self._clock.now()
+        revision, changes = await self._platform.watch(kind, since=since, timeout_s=WATCH_S if since else 0.0)
+        await self._gather(kind, changes)
+        if kind == configuration.INDEX_KIND:
+            self._directory.confirm(0, asked_at)
+        if revision == 0:
+            # A watch from the beginning returns at once, also from an empty store.
+            await asyncio.sleep(RETRY_S)
+        return revision
+
+    async def _gather(self, kind: str, changes: Iterable[tuple[str, int]]) -> None:
+        """Read what is newer than the directory, apply it and push it to the domain."""
+        async with self._locks[kind]:
+            known = self._directory.versions(kind)
+            parts = set(self._directory.parts_in_force().values())
+            names = [name for name, version in changes if version > known.get(name, 0)]
+            changed = await self._read_all(kind, names)
+            if kind == configuration.INDEX_KIND and self._directory.missing_parts():
+                changed += await self._read_all(configuration.PART_KIND, self._directory.missing_parts())
+                if self._directory.missing_parts():
+                    raise errors.PlatformUnavailableError("a part is missing; the index may have changed meanwhile")
+        self._push(kind, changed, parts)
+
+    async def _read_all(self, kind: str, names: Sequence[str]) -> list[interfaces.StoredObject]:
+        """Read objects a few at a time and apply them; return those that changed the shared state."""
+        changed: list[interfaces.StoredObject] = []
+        for start in range(0, len(names), READS_AT_ONCE):
+            reads = [self._platform.read(kind, name) for name in names[start : start + READS_AT_ONCE]]
+            outcomes = await asyncio.gather(*reads, return_exceptions=True)
+            changed += self._directory.apply(row for row in outcomes if isinstance(row, interfaces.StoredObject))
+            for outcome in outcomes:
+                if isinstance(outcome, BaseException):
+                    raise outcome
+        return changed
+
+    def _push(self, kind: str, changed: list[interfaces.StoredObject], known_parts: Iterable[str]) -> None:
+        own = self._peers.member
+        view = self._directory.views.get(own.domain)
+        if view is None or view.member(own.vm) is None or not changed or not self._role.is_set():
+            return
+        targets = [member.vm for member in view.members if member.vm != own.vm]
+        if kind == configuration.INDEX_KIND:
+            changed = exchange.configuration_objects(self._directory, known_parts)
+        for rows in exchange.batch(changed):
+            body = wire.to_map(exchange.Objects(tuple(rows), numbers=exchange.numbers(self._directory)))
+            for vm in targets:
+                self._peers.notify(vm, "objects", body)
+        _log.debug("{} objects of kind {} pushed to {} VMs", len(changed), kind, len(targets))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,241 @@
+"""Tests of relays and of the exchange of objects between VMs."""
+
+import asyncio
+import collections
+import dataclasses
+
+import pytest
+
+from currantlead import errors, interfaces, timers
+from currantlead.control import configuration, directory, exchange, model, records, relay, store
+from tests.standins import memory
+
+
+class Counted:
+    """Pass calls to a shared platform and count those of one VM; ``down`` cuts this VM off."""
+
+    def __init__(self, platform):
+        self.platform, self.calls, self.down = platform, collections.Counter(), False
+
+    def __getattr__(self, name):
+        """Return a counted call."""
+
+        async def call(*arguments, **options):
+            self.calls[name] += 1
+            if self.down:
+                raise errors.PlatformUnavailableError("this VM is cut off")
+            return await getattr(self.platform, name)(*arguments, **options)
+
+        return call
+
+
+class Vm:
+    """Hold the parts of one VM."""
+
+    def __init__(self, world, name, domain):
+        self.clock = world.clock
+        self.platform = Counted(world.platform)
+        self.peers = world.network.join(name, domain)
+        self.cache = directory.Directory(self.clock.now)
+        self.relay = relay.Relay(
+            self.platform,
+            self.cache,
+            self.peers,
+            self.clock,
+            lambda key, names: sorted(names),
+            alive=lambda vm: vm not in world.dead,
+        )
+
+
+class World:
+    """Hold a store, a network and the VMs of one domain."""
+
+    def __init__(self):
+        self.clock, self.platform, self.network = timers.ManualTimers(), memory.MemoryPlatform(), memory.Network()
+        self.vms, self.dead = {}, set()
+
+    async def start(self, *names, domain="larisa"):
+        """Start VMs."""
+        for name in names:
+            self.vms[name] = Vm(self, name, domain)
+            await self.vms[name].relay.start()
+
+    async def change(self, rate):
+        """Store a configuration with one organisation."""
+
+        def mutate(old):
+            return dataclasses.replace(old, organisations={"farm": model.Organisation("farm", rate, 5.0)})
+
+        answer = await store.Store(self.platform, self.clock.now).change(mutate, f"rate {rate}")
+        return answer.ok_value
+
+    async def add_view(self, *names, domain="larisa"):
+        """Store a view."""
+        members = tuple(model.Member(name, domain, 1, "127.0.0.1:1") for name in names)
+        await records.write(self.platform, model.View(domain, 1, members))
+
+    def rates(self):
+        """Return the rate in force on each VM."""
+        return {name: rate_of(vm) for name, vm in self.vms.items()}
+
+
+def rate_of(vm):
+    """Return the rate in force on a VM, or None."""
+    farm = vm.cache.configuration.organisations.get("farm")
+    return farm and farm.rate
+
+
+async def wait_until(condition):
+    """Wait at most 3 s."""
+    for _ in range(300):
+        if condition():
+            return
+        await asyncio.sleep(0.01)
+    assert condition()
+
+
+@pytest.fixture
+async def world(monkeypatch):
+    """Return a world whose waits are short."""
+    monkeypatch.setattr(relay, "WATCH_S", 0.2)
+    monkeypatch.setattr(relay, "RETRY_S", 0.02)
+    world = World()
+    yield world
+    for vm in world.vms.values():
+        await vm.relay.stop()
+
+
+async def test_two_relays_serve_a_domain(world):
+    """A change reaches all VMs of a domain, and those that are no relay do not call the store."""
+    await world.add_view("a", "b", "c", "d")
+    await world.start("a", "b", "c", "d")
+    before = [sum(world.vms[name].platform.calls.values()) for name in "cd"]
+    await world.change(2.0)
+    await wait_until(lambda: set(world.rates().values()) == {2.0})
+    await records.write(world.platform, model.Shares(4, {"larisa": 1.0}))
+    await wait_until(lambda: {vm.cache.shares.number for vm in world.vms.values()} == {4})
+    assert [sum(world.vms[name].platform.calls.values()) for name in "cd"] == before
+    assert [vm.relay.is_relay() for vm in world.vms.values()] == [True, True, False, False]
+
+
+async def test_vm_outside_the_view_watches_for_itself(world):
+    """Before there is a view, and before a VM has joined it, the VM still learns of changes."""
+    await world.start("a", "b")
+    await world.change(2.0)
+    await wait_until(lambda: set(world.rates().values()) == {2.0})
+    await world.add_view("a")
+    await wait_until(lambda: "larisa" in world.vms["b"].cache.views)
+    await world.change(3.0)
+    await wait_until(lambda: set(world.rates().values()) == {3.0})
+
+
+async def test_next_vm_replaces_a_dead_relay(world):
+    """Another VM watches when both relays seem dead, before the view changes."""
+    await world.add_view("a", "b", "c")
+    await world.start("a", "b", "c")
+    for name in "ab":
+        world.vms[name].platform.down = True
+        world.dead.add(name)
+    await world.clock.advance(1.0)
+    await world.change(2.0)
+    await wait_until(lambda: rate_of(world.vms["c"]) == 2.0)
+
+
+async def test_outage_of_the_store(world):
+    """A VM that starts in an outage is served by peers, and a change after the outage arrives."""
+    await world.add_view("a", "b", "c")
+    await world.start("a", "b")
+    await world.change(2.0)
+    await wait_until(lambda: set(world.rates().values()) == {2.0})
+    await world.platform.set_down(True)
+    await world.start("c")
+    assert rate_of(world.vms["c"]) == 2.0 and world.vms["c"].relay.loaded
+    await world.platform.set_down(False)
+    await world.change(3.0)
+    await wait_until(lambda: set(world.rates().values()) == {3.0})
+
+
+async def test_start_without_store_and_peers(world):
+    """A VM that finds nobody is not loaded, and loads by itself once the store answers."""
+    await world.change(2.0)
+    await world.platform.set_down(True)
+    await world.start("a")
+    assert not world.vms["a"].relay.loaded
+    await world.platform.set_down(False)
+    await world.clock.advance(0.1)
+    assert world.vms["a"].relay.loaded and rate_of(world.vms["a"]) == 2.0
+
+
+async def test_start_takes_the_highest_of_store_and_peers(world):
+    """A peer with an old state does not keep a starting VM from the newer one of the store."""
+    await world.change(1.0)
+    await world.start("a")
+    world.vms["a"].platform.down = True
+    await wait_until(lambda: world.vms["a"].platform.calls["watch"] > 3)
+    await world.change(2.0)
+    await world.start("b")
+    assert world.rates() == {"a": 1.0, "b": 2.0}
+
+
+async def test_vm_that_is_behind_pulls(world):
+    """A VM cut off from store and pushes catches up from the numbers of a peer, and never goes back."""
+    await world.add_view("a", "b", "c")
+    await world.start("a", "b", "c")
+    await world.change(1.0)
+    await wait_until(lambda: set(world.rates().values()) == {1.0})
+    old = world.vms["a"].relay.numbers()
+    world.network.cut.add("c")
+    await world.change(2.0)
+    await wait_until(lambda: rate_of(world.vms["a"]) == rate_of(world.vms["b"]) == 2.0)
+    world.network.cut.clear()
+    late = world.vms["c"]
+    late.relay.on_peer_numbers("a", old)
+    late.relay.on_peer_numbers("a", {"configuration": "x"})
+    await asyncio.sleep(0.02)
+    assert rate_of(late) == 1.0 and late.cache.confirmed_at is None
+    late.relay.on_peer_numbers("a", world.vms["a"].relay.numbers())
+    await wait_until(lambda: rate_of(late) == 2.0)
+    world.vms["a"].relay.on_peer_numbers("c", old)
+    await asyncio.sleep(0.02)
+    assert rate_of(world.vms["a"]) == 2.0
+    late.relay.on_peer_numbers("a", world.vms["a"].relay.numbers(), asked_at=world.clock.now())
+    assert late.cache.confirmed_at is not None
+
+
+async def test_returning_relay_does_not_overwrite(world):
+    """Pushes of a relay that was paused change nothing where the state is newer."""
+    await world.change(1.0)
+    await world.start("a", "b")
+    old = exchange.configuration_objects(world.vms["a"].cache, ())
+    await world.change(2.0)
+    await wait_until(lambda: set(world.rates().values()) == {2.0})
+    body = {"objects": [[row.kind, row.name, row.version, row.value] for row in old]}
+    await world.vms["b"].peers.request("a", "objects", body, timeout_s=1.0)
+    assert rate_of(world.vms["a"]) == 2.0
+
+
+async def test_state_larger_than_a_frame(world, monkeypatch):
+    """A starting VM gets a state of several frames from a peer, including the configuration's parts."""
+    monkeypatch.setattr(exchange, "MAX_BATCH_BYTES", 500)
+    await world.change(1.0)
+    for number in range(10):
+        await records.write(world.platform, model.Group(f"g{number}", 1, model.Phase.STABLE, "", ()))
+    await world.start("a")
+    await world.platform.set_down(True)
+    await world.start("b")
+    assert rate_of(world.vms["b"]) == 1.0 and len(world.vms["b"].cache.groups) == 10
+    assert world.vms["a"].relay.numbers()["sums"] == world.vms["b"].relay.numbers()["sums"]
+
+
+async def test_pull_by_name_and_malformed_pull(world):
+    """An object is returned by kind and name; a malformed request is refused."""
+    await world.change(1.0)
+    await world.start("a", "b")
+    part = next(iter(world.vms["a"].cache.parts_in_force().values()))
+    names = [["parts", part], ["groups", "absent"]]
+    body = await world.vms["b"].peers.request("a", "pull", {"names": names}, timeout_s=1.0)
+    [stored] = exchange.read_objects(body).stored()
+    assert isinstance(stored, interfaces.StoredObject) and configuration.part_text(part, stored.value)
+    for fault in ({"names": 1}, {"have": {"secrets": {}}}, {"have": {"groups": 1}}):
+        with pytest.raises(errors.MalformedFrameError):
+            await world.vms["b"].peers.request("a", "pull", fault, timeout_s=1.0)
