--- a/src/currantlead/control/relay.py
+++ b/src/currantlead/control/relay.py
@@ -123,6 +123,15 @@
             return
         self._compare(vm, theirs, asked_at)
 
+    def publish(self, written: Iterable[interfaces.StoredObject]) -> None:
+        """Apply groups, views or shares that this VM has just written to the store, and push them to its domain.
+
+        Without this, a relay that applied its own write would find nothing new in its watch and push nothing.
+        """
+        changed = self._directory.apply(written)
+        if changed:
+            self._send(changed)
+
     def _compare(self, vm: str, theirs: exchange.Numbers, asked_at: float | None) -> None:
         if asked_at is not None and theirs.age_s is not None:
             self._directory.confirm(theirs.configuration, asked_at - theirs.age_s)
@@ -271,18 +280,23 @@
         return changed
 
     def _push(self, kind: str, changed: list[interfaces.StoredObject], known_parts: Iterable[str]) -> None:
+        if not changed or not self._role.is_set():
+            return
+        if kind == configuration.INDEX_KIND:
+            changed = exchange.configuration_objects(self._directory, known_parts)
+        self._send(changed)
+
+    def _send(self, objects: Sequence[interfaces.StoredObject]) -> None:
         own = self._peers.member
         view = self._directory.views.get(own.domain)
-        if view is None or view.member(own.vm) is None or not changed or not self._role.is_set():
+        if view is None or view.member(own.vm) is None:
             return
         targets = [member.vm for member in view.members if member.vm != own.vm]
-        if kind == configuration.INDEX_KIND:
-            changed = exchange.configuration_objects(self._directory, known_parts)
-        for rows in exchange.batch(changed):
+        for rows in exchange.batch(objects):
             body = wire.to_map(exchange.Objects(tuple(rows), numbers=exchange.numbers(self._directory)))
             for vm in targets:
                 self._peers.notify(vm, "objects", body)
-        _log.debug("{} objects of kind {} pushed to {} VMs", len(changed), kind, len(targets))
+        _log.debug("{} objects pushed to {} VMs", len(objects), len(targets))
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
--- /dev/null
+++ b/tests/test_balancer.py
@@ -0,0 +1,68 @@
+"""Tests of the stand-in balancer."""
+
+import asyncio
+import signal
+import sys
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+
+async def start_vm(name, state):
+    """Serve a VM whose health follows ``state``; return the runner and its port."""
+
+    async def health(_):
+        return web.Response(status=200 if state[name] else 503)
+
+    async def who(_):
+        return web.Response(text=name)
+
+    app = web.Application()
+    app.add_routes([web.get("/health", health), web.get("/who", who)])
+    runner = web.AppRunner(app, shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    return runner, runner.addresses[0][1]
+
+
+async def ask(port, count):
+    """Return the VMs that answered new connections."""
+    answers = set()
+    async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(force_close=True)) as session:
+        for _ in range(count):
+            try:
+                async with session.get(f"http://127.0.0.1:{port}/who") as answer:
+                    answers.add(await answer.text())
+            except aiohttp.ClientError:
+                answers.add(None)
+    return answers
+
+
+@pytest.mark.processes
+async def test_balancer_follows_health(tmp_path):
+    """New connections go to all healthy VMs and to no other one."""
+    state = {"v1": True, "v2": True}
+    vms = {name: await start_vm(name, state) for name in state}
+    port_file = tmp_path / "port"
+    targets = [f"--target={name}=127.0.0.1:{port}" for name, (_, port) in vms.items()]
+    arguments = ["-m", "tests.standins.balancer", "--port-file", str(port_file), *targets]
+    process = await asyncio.create_subprocess_exec(sys.executable, *arguments)
+    try:
+        for _ in range(500):
+            if port_file.exists():
+                break
+            await asyncio.sleep(0.02)
+        port = int(port_file.read_text())
+        for healthy in ({"v1", "v2"}, {"v2"}, {"v1", "v2"}, {"v1"}):
+            state.update({name: name in healthy for name in state})
+            await asyncio.sleep(1.2)
+            assert await ask(port, 4) == healthy
+        await vms["v1"][0].cleanup()
+        await asyncio.sleep(1.2)
+        assert await ask(port, 2) == {None}
+    finally:
+        process.send_signal(signal.SIGTERM)
+        assert await asyncio.wait_for(process.wait(), 5) == 0
+        for runner, _ in vms.values():
+            await runner.cleanup()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -202,6 +202,16 @@
     assert late.cache.confirmed_at is not None
 
 
+async def test_own_write_reaches_the_domain(world):
+    """An object that a VM wrote and applied itself is pushed to its domain without the store's watch."""
+    await world.add_view("a", "b", "c")
+    await world.start("a", "b", "c")
+    await asyncio.sleep(0.02)
+    await world.platform.set_down(True)
+    world.vms["c"].relay.publish([records.stored(model.Group("g", 2, model.Phase.STABLE, "", (), {}, 50))])
+    await wait_until(lambda: all("g" in vm.cache.groups for vm in world.vms.values()))
+
+
 async def test_returning_relay_does_not_overwrite(world):
     """Pushes of a relay that was paused change nothing where the state is newer."""
     await world.change(1.0)
