--- a/src/currantlead/admission/bucket.py
+++ b/src/currantlead/admission/bucket.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+import math
 from collections.abc import Iterator
 
 TOKEN = 1_000_000
@@ -70,17 +71,17 @@
 class Ledger:
     """Count the tokens of one bucket: ``level + outstanding <= burst`` holds at all times."""
 
-    def __init__(self, rate: float, burst: float, *, accrue_from: float, first_number: int = 1):
+    def __init__(self, rate: float, burst: int, *, accrue_from: float, first_number: int = 1):
         """Create an empty ledger.
 
         Args:
             rate: Tokens per second of this domain's share.
-            burst: Tokens of this domain's share.
+            burst: Amount of this domain's share.
             accrue_from: Clock reading before which no token is created: the end of the previous owner's grants.
             first_number: Number of the first grant; a random one keeps apart the grants of successive owners.
         """
         self.rate = rate
-        self.burst = int(burst * TOKEN)
+        self.burst = burst
         self.level = 0
         self.outstanding = 0
         self.loans: list[Loan] = []
@@ -89,11 +90,11 @@
         self._grants: dict[int, Grant] = {}
         self._next_number = first_number
 
-    def configure(self, rate: float, burst: float, now: float) -> None:
+    def configure(self, rate: float, burst: int, now: float) -> None:
         """Change rate and burst at once; tokens may be lost by it, never created."""
         self.advance(now)
         self.rate = rate
-        self.burst = int(burst * TOKEN)
+        self.burst = burst
         self.level = max(0, min(self.level, self.burst - self.outstanding))
 
     def advance(self, now: float) -> None:
@@ -138,32 +139,39 @@
         return True
 
     def grant(self, requester: str, want: int, now: float) -> list[Grant]:
-        """Give up to ``want`` to a requester, from loans first because they expire.
+        """Give tokens to a requester, from loans first because they expire.
+
+        Args:
+            requester: VM that asks.
+            want: Amount that makes whole tokens with what the requester holds. A smaller grant is less by whole
+                tokens, since a fraction would lie unused at the requester.
+            now: Clock reading.
 
         Returns:
             The grants; one for each source of tokens.
         """
-        amount = min(want, self.available(now))
+        missing = max(0, want - self.available(now))
+        amount = want - math.ceil(missing / TOKEN) * TOKEN
+        if amount <= 0:
+            return []
         return [self._open(requester, part, now, loan) for loan, part in self._draw(amount)]
 
     def lend(self, requester: str, want: int, level: int, room: int, now: float) -> list[Grant]:
         """Give tokens of this domain to another domain's owner.
 
-        Beyond what the borrower needs, half of the difference of the levels is lent, because tokens that accrue in a
+        A borrower without waiting requests gets half of the difference of the levels, because tokens that accrue in a
         full bucket are lost.
 
         Args:
             requester: VM of the borrower.
-            want: Amount that the borrower's requests need.
+            want: Amount that the borrower's requests need; 0 to even out the levels.
             level: Borrower's level.
             room: What the borrower can add to its level.
             now: Clock reading.
         """
         self.advance(now)
-        needed = min(want, self.level)
-        extra = max(0, min((self.level - needed - level) // 2, room))
-        amount = needed + extra
-        if amount == 0:
+        amount = min(want, self.level) if want else min((self.level - level) // 2, room)
+        if amount <= 0:
             return []
         self.level -= amount
         return [self._open(requester, amount, now, None)]
--- a/src/currantlead/admission/gate.py
+++ b/src/currantlead/admission/gate.py
@@ -42,22 +42,29 @@
         return self.amount - self.spent
 
 
-class Cache:
-    """Hold granted tokens until they are spent, expire or go back."""
+class Meter:
+    """Estimate events per second with an exponentially fading count."""
 
     def __init__(self) -> None:
-        self.parts: list[Part] = []
-        self._demand = 0.0
+        self._rate = 0.0
         self._seen = -math.inf
 
-    def arrive(self, now: float) -> None:
-        """Count one request in the estimate of demand."""
-        self._demand = self.demand(now) + 1 / _MEMORY_S
+    def count(self, now: float) -> None:
+        """Count one event."""
+        self._rate = self.rate(now) + 1 / _MEMORY_S
         self._seen = now
 
-    def demand(self, now: float) -> float:
-        """Return the estimated requests per second."""
-        return self._demand * math.exp((self._seen - now) / _MEMORY_S)
+    def rate(self, now: float) -> float:
+        """Return the estimated events per second."""
+        return self._rate * math.exp((self._seen - now) / _MEMORY_S)
+
+
+class Cache:
+    """Hold granted tokens until they are spent, expire or go back."""
+
+    def __init__(self) -> None:
+        self.parts: list[Part] = []
+        self.demand = Meter()
 
     def add(self, owner: str, number: int, amount: int, asked: float, lifetime_s: float) -> None:
         """Add a grant.
@@ -88,24 +95,27 @@
                 missing -= amount
         return True
 
-    def wanted(self, waiting: int, now: float) -> int:
+    def wanted(self, waiting: int, now: float, most_ahead: int) -> int:
         """Return the amount to ask for.
 
         Args:
             waiting: Requests that wait for a token.
             now: Clock reading.
+            most_ahead: Tokens that the VM may hold in advance.
 
         Returns:
             What the waiting requests lack, plus demand of the near future if it is steady.
         """
-        demand = self.demand(now)
-        ahead = math.ceil(demand * AHEAD_S) if demand >= STEADY_RATE else 0
+        ahead = self._ahead(now, most_ahead)
         return max(0, (waiting + ahead) * bucket.TOKEN - self.available(now))
 
-    def is_low(self, now: float) -> bool:
-        """Tell whether to ask ahead now: less than half of the demand to hold is left."""
-        demand = self.demand(now)
-        return demand >= STEADY_RATE and self.available(now) < demand * AHEAD_S / 2 * bucket.TOKEN
+    def is_low(self, now: float, most_ahead: int) -> bool:
+        """Tell whether to ask ahead now: less than half of the tokens to hold is left."""
+        return self.available(now) < self._ahead(now, most_ahead) * bucket.TOKEN // 2
+
+    def _ahead(self, now: float, most_ahead: int) -> int:
+        demand = self.demand.rate(now)
+        return min(most_ahead, math.ceil(demand * AHEAD_S)) if demand >= STEADY_RATE else 0
 
     def reports(self, owner: str) -> list[tuple[int, int]]:
         """Return (grant, whole amount spent) of each grant of an owner with unreported spending."""
