--- a/src/currantlead/border/server.py
+++ b/src/currantlead/border/server.py
@@ -124,6 +124,7 @@
             tree: CherryPy tree; the process-wide one by default. Several servers in one process need their own.
         """
         self.state = State.STARTING
+        self._withdrawn = False
         self.metrics = metrics or Metrics(prometheus_client.CollectorRegistry())
         self.application = application.Application(
             proxy, run, timeout_s=request_timeout_s, leaving=self._leaving, observe=self.metrics.observe
@@ -138,6 +139,12 @@
         self._operators = self._listener(operator_address, operators, 2, client_timeout_s, request_timeout_s)
         self._threads: list[threading.Thread] = []
 
+    @property
+    def reported_state(self) -> State:
+        """Return what ``/health`` answers."""
+        withdrawn = self._withdrawn and self.state is State.READY
+        return State.LEAVING if withdrawn else self.state
+
     @property
     def address(self) -> tuple[str, int]:
         """Return the bound host and port for callers."""
@@ -162,6 +169,10 @@
         if self.state is State.STARTING:
             self.state = State.READY
 
+    def set_in_service(self, in_service: bool) -> None:
+        """Let ``/health`` follow whether operators keep this VM in service; ``leave`` is final."""
+        self._withdrawn = not in_service
+
     def leave(self) -> None:
         """Let ``/health`` answer ``leaving`` and close each connection with its next answer."""
         self.state = State.LEAVING
@@ -203,7 +214,7 @@
 
     @cherrypy.expose
     def health(self) -> bytes:
-        state = self._border.state
+        state = self._border.reported_state
         response = cherrypy.serving.response
         response.headers["Content-Type"] = "text/plain"
         if state is State.LEAVING:
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -179,7 +179,8 @@
 
     def start_platform(self) -> None:
         """Start the platform with the groups' records."""
-        seed = {"groups": [self._group_record(*item) for item in enumerate(self.deployment.databases)]}
+        groups = {name: self._group_record(number, name) for number, name in enumerate(self.deployment.databases)}
+        seed = {"groups": groups}
         path = self._folder / "seed.json"
         path.write_text(json.dumps(seed))
         self.platform = self._start("platform", "tests.standins.platform", "--port", "0", "--seed", path)
