Test streams, placement and membership; bound the cost of idle polling

The tables found one fault: the decoder's position moved into an incomplete frame, so the size limit of 4 MiB was not applied to frames that arrive in pieces.

--- a/src/currantlead/control/changes.py
+++ b/src/currantlead/control/changes.py
@@ -9,13 +9,15 @@
 from currantlead import errors, interfaces, logs, timers, wire
 from currantlead.control import lease, membership, model, views
 
-SILENT_S = 2.5
+# A member is silent after this many heartbeat intervals.
+SILENT_INTERVALS = 2.5
 # Each further member waits this much longer before it removes a silent one, so that normally one member acts.
 NEXT_REMOVER_S = 1.5
 # A restart changes the view several times at once; the extra witness follows when the view has been quiet this long.
 QUIET_S = 1.0
 ABANDONED_REMOVAL_S = 3.0
 POLL_S = 0.25
+IDLE_POLL_S = 1.0
 SUSPEND_TIMEOUT_S = 0.5
 JOIN_TIMEOUT_S = 5.0
 LEAVE_TIMEOUT_S = 5.0
@@ -31,6 +33,10 @@
     def roles(self) -> membership.Roles:
         """Return the roles and adoption reports."""
 
+    @property
+    def interval_s(self) -> float:
+        """Return the seconds between heartbeats."""
+
     def adopt(self, view: model.View) -> None:
         """Adopt a view."""
 
@@ -67,6 +73,7 @@
         self._asked_at = lease.NEVER
         self._changed_at = lease.NEVER
         self._number = 0
+        self._busy = True
 
     def start(self) -> None:
         """Start the task."""
@@ -102,7 +109,8 @@
         _, done = self._joins.setdefault(identity, (member, asyncio.get_running_loop().create_future()))
         self._wake.set()
         try:
-            await asyncio.wait_for(asyncio.shield(done), JOIN_TIMEOUT_S)
+            async with asyncio.timeout(JOIN_TIMEOUT_S):
+                await asyncio.shield(done)
         except TimeoutError:
             self._joins.pop(identity, None)
             return {"refused": True}
@@ -121,14 +129,17 @@
             except Exception as error:
                 _log.opt(exception=error).error("a view change failed")
                 await asyncio.sleep(STORE_BACKOFF_S)
+            # asyncio.wait_for of Python 3.11 may swallow a cancellation that comes together with the event.
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._wake.wait(), POLL_S)
+                async with asyncio.timeout(POLL_S if self._busy else IDLE_POLL_S):
+                    await self._wake.wait()
             self._wake.clear()
 
     async def _step(self) -> bool:
         """Make one change; return whether to look for the next at once."""
         roles = self._host.roles
         if not roles.member:
+            self._busy = True
             return await self._join()
         view = roles.view
         if view.number != self._number:
@@ -144,6 +155,7 @@
 
     async def _next(self, view: model.View) -> model.View | None:
         silent = self._to_remove(view)
+        self._busy = bool(silent or self._joins)
         if silent:
             removable = await self._remove(view, silent)
             return views.without(view, removable[0]) if removable else None
@@ -162,18 +174,22 @@
     def _witness_step(self, view: model.View) -> model.View | None:
         witness = view.witness
         failed = set()
-        if witness is not None and self._host.silent_s(lease.identify(witness)) > SILENT_S:
+        if witness is not None and self._host.silent_s(lease.identify(witness)) > self._silent_after_s:
             failed.add(lease.identify(witness))
         return views.repair_witness(view, self._host.foreign_members(), failed)
 
+    @property
+    def _silent_after_s(self) -> float:
+        return SILENT_INTERVALS * self._host.interval_s
+
     def _position(self, view: model.View) -> int:
         """Return how many live members come before this VM."""
         before = [member for member in view.members if member.vm < self._peers.member.vm]
-        return sum(self._host.silent_s(lease.identify(member)) < SILENT_S for member in before)
+        return sum(self._host.silent_s(lease.identify(member)) < self._silent_after_s for member in before)
 
     def _to_remove(self, view: model.View) -> list[lease.Identity]:
         """Return the silent members, and those that a newer incarnation asks to replace."""
-        limit = SILENT_S + NEXT_REMOVER_S * self._position(view)
+        limit = self._silent_after_s + NEXT_REMOVER_S * self._position(view)
         joining = {identity.vm: identity for identity in self._joins}
         silent = []
         for member in view.members:
@@ -215,7 +231,7 @@
         """Tell whether a quorum has adopted a view, so that it may be replaced."""
         adopted = self._host.roles.adopted_by(view.number)
         adopted |= self._removal.promisers(view.number)
-        return sum(voter.vm in adopted for voter in lease.voters(view)) >= lease.quorum(view)
+        return lease.committed(view, adopted)
 
     async def _wait_committed(self, view: model.View) -> bool:
         try:
@@ -268,7 +284,9 @@
     async def _take_over(self, view: model.View) -> bool:
         """Remove members of a view of which none is left, such as after a loss of power in the whole domain."""
         silent = [lease.identify(member) for member in view.members]
-        if view is not self._host.roles.view or any(self._host.silent_s(holder) < SILENT_S for holder in silent):
+        if view is not self._host.roles.view or any(
+            self._host.silent_s(holder) < self._silent_after_s for holder in silent
+        ):
             return False
         removable = await self._remove(view, silent)
         return await self._write(views.without(view, removable[0])) if removable else False
--- a/src/currantlead/control/lease.py
+++ b/src/currantlead/control/lease.py
@@ -46,6 +46,16 @@
     return count // 2 + 1 if count else 0
 
 
+def committed(view: model.View, adopted: set[str]) -> bool:
+    """Tell whether a quorum has adopted a view, so that it may be replaced.
+
+    Args:
+        view: The view.
+        adopted: Names of the VMs that have adopted this view or a later one, in any incarnation.
+    """
+    return sum(voter.vm in adopted for voter in voters(view)) >= quorum(view)
+
+
 class Lease:
     """Keep the holder's side of a lease.
 
--- a/src/currantlead/control/members.py
+++ b/src/currantlead/control/members.py
@@ -6,12 +6,14 @@
 from typing import Any
 
 from currantlead import interfaces, logs, timers
-from currantlead.control import changes, heartbeats, lease, membership, model, views
+from currantlead.control import changes, heartbeats, lease, membership, model, standing, views
 
 HEARTBEAT_S = 1.0
-LEASE_CHECK_S = 0.1
+# A heartbeat costs about as much for each member; in large views the interval grows, the lease stays.
+LARGE_VIEW = 43
+LARGE_VIEW_HEARTBEAT_S = 1.5
 # Echoes normally wait for the next heartbeat; with less than this left of the lease they are asked for at once.
-HURRY_MARGIN_S = 1.5
+HURRY_MARGIN_S = 0.9
 
 _log = logs.part("members")
 
@@ -39,23 +41,18 @@
         self._heartbeat_s = heartbeat_s
         self._me = lease.identify(peers.member)
         self._domain = peers.member.domain
-        self._lease = lease.Lease(lease_s)
-        self._witness = lease.Witness(clock.now(), lease_s)
-        self._roles = membership.Roles(self._me, self._domain)
+        self._standing = standing.Standing(self._me, self._domain, clock.now(), lease_s)
         self._contacts = heartbeats.Contacts()
-        self._stamps = heartbeats.Stamps()
-        self._echoes: dict[lease.Identity, int] = {}
         self._views: dict[str, model.View] = {}
         self._placed: dict[str, membership.Placed] = {}
-        self._peer_views: dict[str, int] = {}
         self._targets: tuple[str, ...] = ()
         self._providers: dict[str, Callable[[], Any]] = {}
         self._release_callbacks: list[Callable[[], Awaitable[None] | None]] = []
         self._report_callbacks: list[Callable[[str, dict[str, Any]], None]] = []
         self._subscriptions: list[timers.Subscription] = []
         self._tasks: set[asyncio.Task[None]] = set()
-        self._usable = False
         self._suspended_in = -1
+        self._ticks = 0
         self.heartbeats_sent = 0
         self._changes = changes.Changes(self, peers, views.Store(platform, self._domain), clock)
         peers.handler("ping")(self._on_ping)
@@ -66,21 +63,19 @@
 
     def lease_valid(self) -> bool:
         """Tell whether this VM's lease holds now; call it in the same step as the use."""
-        return self._lease.valid(self._clock.now())
+        return self._standing.valid(self._clock.now())
 
     def owns(self, organisation: str) -> bool:
         """Tell whether this VM is the active rate owner of the organisation in its own domain, lease included."""
-        return self.lease_valid() and self._roles.owns(organisation, self._lease.epoch)
+        return self._standing.owns(organisation, self._clock.now())
 
     def owned_since(self, organisation: str) -> float | None:
         """Return the clock reading at which ownership became active, or None."""
-        return self._roles.owned_since(organisation, self._lease.epoch) if self.lease_valid() else None
+        return self._standing.owned_since(organisation, self._clock.now())
 
     def holds(self, instance: str, domain: str) -> float:
         """Return the share (0 to 1) of the instance's connections that this VM may use now, lease included."""
-        if domain != self._domain or not self.lease_valid():
-            return 0.0
-        return self._roles.share(instance, self._lease.epoch)
+        return self._standing.share(instance, self._clock.now()) if domain == self._domain else 0.0
 
     def owner(self, organisation: str, domain: str) -> str | None:
         """Return the VM that should own the organisation's bucket in a domain, or None if its view is empty."""
@@ -94,10 +89,13 @@
         """Tell whether a VM is believed to be running; for VMs of other domains, whether a view names it."""
         if vm == self._me.vm:
             return True
-        view = self._roles.view
+        view = self._standing.roles.view
         member = None if view is None else view.member(vm)
         if member is not None:
-            return self._contacts.silent_s(lease.identify(member), self._clock.now()) < changes.SILENT_S
+            return (
+                self._contacts.silent_s(lease.identify(member), self._clock.now())
+                < changes.SILENT_INTERVALS * self.interval_s
+            )
         return any(view.member(vm) is not None for domain, view in self._views.items() if domain != self._domain)
 
     # Interface of the composition.
@@ -105,12 +103,12 @@
     @property
     def view(self) -> model.View | None:
         """Return the view of this VM's domain that it has adopted."""
-        return self._roles.view
+        return self._standing.roles.view
 
     @property
     def settled(self) -> bool:
         """Tell whether this VM's lease holds and all members of its view adopted it, so that all roles are active."""
-        return self.lease_valid() and self._roles.settled
+        return self.lease_valid() and self._standing.roles.settled
 
     def add_number(self, name: str, provider: Callable[[], Any]) -> None:
         """Add a number to the heartbeats.
@@ -143,8 +141,7 @@
         for domain in list(self._directory.views):
             self._on_object(views.KIND, domain)
         self._subscriptions = [
-            self._clock.subscribe("heartbeat", self._heartbeat_s, self._beat),
-            self._clock.subscribe("lease check", LEASE_CHECK_S, self._check_lease),
+            self._clock.subscribe("heartbeat", self._heartbeat_s / 2, self._beat_if_due),
         ]
         self._changes.start()
 
@@ -154,10 +151,10 @@
         Args:
             leave: Whether to remove this VM from the view; False imitates a crash in tests.
         """
-        self._roles.leave()
+        self._standing.leave()
         await self._run_release_callbacks()
         await self._changes.stop(leave=leave)
-        self._lease.drop()
+        self._standing.lease.drop()
         for subscription in self._subscriptions:
             subscription.cancel()
         for task in list(self._tasks):
@@ -169,7 +166,7 @@
     @property
     def roles(self) -> membership.Roles:
         """Return the roles and adoption reports."""
-        return self._roles
+        return self._standing.roles
 
     def foreign_members(self) -> list[model.Member]:
         """Return the members of the views of other domains."""
@@ -183,7 +180,7 @@
 
     def suspended_by_peer(self) -> bool:
         """Tell whether a witness reported in this view that it does not acknowledge this VM."""
-        return self._suspended_in == (self._roles.view.number if self._roles.view else 0)
+        return self._suspended_in == self._standing.number
 
     def adopt(self, view: model.View) -> None:
         """Adopt a view of any domain if it is newer than the known one."""
@@ -194,9 +191,9 @@
         self._views[view.domain] = view
         self._placed[view.domain] = membership.Placed(view)
         self._peers.learn(lease.voters(view))
-        self._witness.adopt(view, now)
-        if view.domain == self._domain:
-            self._adopt_own(view, now)
+        change = self._standing.adopt(view, now)
+        if change is not None:
+            self._follow(view, change, now)
 
     def beat_now(self, *, push: bool = False) -> None:
         """Send heartbeats outside the interval, after a change that peers wait for.
@@ -206,24 +203,16 @@
         """
         self._beat(push=push)
 
-    def _adopt_own(self, view: model.View, now: float) -> None:
-        change = self._roles.adopt(view)
-        if change is None:
-            return
-        names = ", ".join(member.vm for member in view.members) or "none"
+    def _follow(self, view: model.View, change: membership.Change, now: float) -> None:
         _log.info(
-            "adopted view {} of {}: joined {}, removed {}, members {}",
+            "adopted view {} of {}: joined {}, removed {}, members {}, this VM is {}a member",
             view.number,
             view.domain,
-            change.joined,
-            change.removed,
-            names,
+            ", ".join(change.joined) or "none",
+            ", ".join(change.removed) or "none",
+            len(view.members),
+            "" if change.member else "not ",
         )
-        if change.member:
-            self._lease.adopt(view)
-        else:
-            self._lease.drop()
-            self._usable = False
         for voter in lease.voters(view):
             if voter.vm != self._me.vm:
                 self._contacts.expect(lease.identify(voter), now)
@@ -232,8 +221,10 @@
 
     async def _release(self, number: int) -> None:
         await self._run_release_callbacks()
-        if self._roles.view is not None and self._roles.view.number == number:
-            self._report_settled(self._roles.report_adopted, self._clock.now(), self._lease.epoch)
+        settled = self._standing.roles.settled
+        released = self._standing.release(number, self._clock.now())
+        self._log_activation(settled)
+        if released:
             self._beat()
             self._changes.wake()
 
@@ -246,23 +237,41 @@
             except Exception as error:
                 _log.opt(exception=error).error("a release callback failed")
 
-    def _report_settled(self, report: Callable[..., Any], *args: Any) -> None:
-        was = self._roles.settled
-        report(*args)
-        if self._roles.settled and not was and self._roles.view is not None:
-            _log.info("all members of view {} have adopted it: gained roles are active", self._roles.view.number)
+    def _log_activation(self, before: bool) -> None:
+        if self._standing.roles.settled and not before:
+            _log.info("all members of view {} have adopted it: gained roles are active", self._standing.number)
+
+    def _begin_lease(self) -> None:
+        _log.info("lease holds from now on")
+        self._watch_lease()
+        self._changes.wake()
+
+    @property
+    def interval_s(self) -> float:
+        """Return the seconds between heartbeats in the adopted view."""
+        scale = LARGE_VIEW_HEARTBEAT_S if len(self._targets) >= LARGE_VIEW else 1.0
+        return scale * self._heartbeat_s
+
+    def _beat_if_due(self) -> None:
+        # The subscription runs at half of the interval, so that both intervals are multiples of it.
+        self._ticks += 1
+        if self._ticks >= round(2 * self.interval_s / self._heartbeat_s):
+            self._ticks = 0
+            self._beat()
 
     def _beat(self, *, push: bool = False) -> None:
         """Send a heartbeat to each voter of the view."""
-        view = self._roles.view
+        view = self._standing.roles.view
         if view is None:
             return
         now = self._clock.now()
-        stamp = self._stamps.issue(now)
         numbers = {name: provider() for name, provider in self._providers.items()}
-        if self._roles.member and self._witness.acknowledge(self._me, self._domain, view.number, now):
-            self._acknowledged(self._me, stamp, now)
-        hurry = self._roles.member and self._lease.expires - now < HURRY_MARGIN_S
+        settled, epoch = self._standing.roles.settled, self._standing.lease.epoch
+        stamp = self._standing.ping(now)
+        if self._standing.lease.epoch != epoch:
+            self._begin_lease()
+        self._log_activation(settled)
+        hurry = self._standing.roles.member and self._standing.lease.expires - now < HURRY_MARGIN_S
         for vm in self._targets:
             body = self._body(vm, stamp, numbers)
             if hurry:
@@ -273,20 +282,19 @@
         self.heartbeats_sent += len(self._targets)
 
     def _body(self, vm: str, stamp: int, numbers: dict[str, Any]) -> dict[str, Any]:
-        view = self._roles.view
-        number = 0 if view is None else view.number
+        number = self._standing.number
         body: dict[str, Any] = {"d": self._domain, "i": self._me.incarnation, "v": number, "s": stamp}
         if numbers:
             body["n"] = numbers
-        if self._roles.reported != number:
-            body["a"] = self._roles.reported
+        if self._standing.roles.reported != number:
+            body["a"] = self._standing.roles.reported
         incarnation = self._contacts.incarnation(vm)
         if incarnation is not None:
             identity = lease.Identity(vm, incarnation)
-            echo = self._echoes.get(identity)
+            echo = self._standing.echo(identity)
             if echo is not None:
                 body["e"] = echo
-            if self._witness.suspended(identity):
+            if self._standing.witness.suspended(identity):
                 body["x"] = 1
         return body
 
@@ -297,30 +305,23 @@
         if "w" in body:
             self.adopt(views.from_value(body["w"], body["wv"]))
         self._contacts.hear(identity, body.get("n"), now)
-        if self._witness.acknowledge(identity, domain, number, now):
-            self._echoes[identity] = stamp
-        else:
-            self._echoes.pop(identity, None)
-        self._acknowledged(identity, body.get("e"), now)
+        settled = self._standing.roles.settled
+        if self._standing.receive(identity, domain, number, stamp, body.get("e"), now):
+            self._begin_lease()
         if domain == self._domain:
-            self._on_report(identity, body, now)
+            self._standing.report(identity, body.get("a", number), now)
         elif "o" in body:
-            self._roles.report(identity, body["o"], now, self._lease.epoch)
-            self._changes.progressed()
+            self._standing.report(identity, body["o"], now)
+        self._log_activation(settled)
+        if "x" in body and domain == self._domain and number == self._standing.number:
+            self._suspended_in = number
+        self._changes.progressed()
         if "q" in body or "r" not in body:
             self._answer(vm, domain, number, asked="q" in body, hurry="f" in body)
         for callback in self._report_callbacks:
             callback(vm, body.get("n", {}))
         return {}
 
-    def _on_report(self, identity: lease.Identity, body: dict[str, Any], now: float) -> None:
-        view = self._roles.view
-        if view is not None and "x" in body and body["v"] == view.number:
-            self._suspended_in = view.number
-            self._changes.wake()
-        self._report_settled(self._roles.report, identity, body.get("a", body["v"]), now, self._lease.epoch)
-        self._changes.progressed()
-
     def _answer(self, vm: str, domain: str, number: int, *, asked: bool, hurry: bool) -> None:
         """Answer at once a VM that this VM sends no heartbeats, one whose view differs or whose lease ends soon.
 
@@ -331,10 +332,10 @@
             asked: Whether it asked for the view of this VM's domain.
             hurry: Whether its lease ends soon.
         """
-        known = self._witness.number(domain)
+        known = self._standing.witness.number(domain)
         if vm in self._targets and number == known and not asked and not hurry:
             return
-        body = self._body(vm, self._stamps.issue(self._clock.now()), {})
+        body = self._body(vm, self._standing.ping(self._clock.now()), {})
         body["r"] = 1
         if number > known:
             body["q"] = 1
@@ -345,24 +346,18 @@
             body["w"], body["wv"] = views.to_value(wanted), wanted.version
         self._peers.notify(vm, "ping", body)
 
-    def _acknowledged(self, witness: lease.Identity, stamp: Any, now: float) -> None:
-        sent = self._stamps.sent(stamp)
-        if sent is None or not self._roles.member:
-            return
-        epoch = self._lease.epoch
-        self._lease.acknowledge(witness, sent, now)
-        if self._lease.epoch != epoch:
-            _log.info("lease holds from now on")
-            self._usable = True
-            self._report_settled(self._roles.settle, now, self._lease.epoch)
-            self._changes.wake()
+    def _watch_lease(self) -> None:
+        """Call back at the end of the lease; a renewal in between only makes the call move on."""
+        delay_s = max(0.001, self._standing.lease.expires - self._clock.now())
+        self._clock.call_after("lease", delay_s, self._check_lease)
 
     def _check_lease(self) -> None:
-        if self._usable and not self.lease_valid():
-            self._usable = False
+        now = self._clock.now()
+        if self._standing.lapse(now):
             _log.warning("lease lapsed: all roles stop")
-            self._roles.lose_all()
-            self._spawn(self._run_release_callbacks())
+            self._spawn(self._release(self._standing.number))
+        elif self._standing.valid(now):
+            self._watch_lease()
 
     async def _on_suspend(self, vm: str, body: dict[str, Any]) -> dict[str, Any]:
         self.adopt(views.from_value(body["view"], body["version"]))
@@ -371,8 +366,7 @@
 
     def promise(self, domain: str, number: int, holders: list[lease.Identity]) -> list[list[float] | None]:
         """Promise to suspend holders, as a witness of this VM's own or another domain."""
-        now = self._clock.now()
-        promises = [self._witness.suspend(holder, domain, number, now) for holder in holders]
+        promises = self._standing.promise(domain, number, holders, self._clock.now())
         return [None if promise is None else list(promise) for promise in promises]
 
     def _on_object(self, kind: str, name: str) -> None:
--- a/src/currantlead/control/membership.py
+++ b/src/currantlead/control/membership.py
@@ -155,7 +155,9 @@
         self.lose_all()
 
     def lose_all(self) -> None:
-        """Stop all roles, because the lease lapsed."""
+        """Stop all roles until the next ``report_adopted``, because the lease lapsed."""
+        self._reports.pop(self._identity, None)
+        self.reported = 0
         self._chain = ()
         self._settled = False
         self._since.clear()
--- a/src/currantlead/peers/frames.py
+++ b/src/currantlead/peers/frames.py
@@ -55,11 +55,13 @@
             raw=False, strict_map_key=False, max_buffer_size=MAX_FRAME_BYTES + 2 * _SLICE_BYTES
         )
         self._fed = 0
+        # Position after the last complete frame; the unpacker's own position moves into an incomplete one.
+        self._end = 0
 
     @property
     def pending(self) -> int:
         """Return the number of bytes of an incomplete frame."""
-        return self._fed - self._unpacker.tell()
+        return self._fed - self._end
 
     def feed(self, data: bytes) -> Iterator[Frame]:
         """Yield the frames that are complete after more bytes arrived.
@@ -83,7 +85,6 @@
         unpacker = self._unpacker
         unpacker.feed(data)
         self._fed += len(data)
-        start = unpacker.tell()
         while True:
             try:
                 frame = unpacker.unpack()
@@ -94,12 +95,12 @@
                     f"bytes are no msgpack value: {error or type(error).__name__}"
                 ) from None
             end = unpacker.tell()
-            if end - start > MAX_FRAME_BYTES:
-                raise errors.MalformedFrameError(f"frame has {end - start} bytes, the limit is {MAX_FRAME_BYTES}")
-            start = end
+            if end - self._end > MAX_FRAME_BYTES:
+                raise errors.MalformedFrameError(f"frame has {end - self._end} bytes, the limit is {MAX_FRAME_BYTES}")
+            self._end = end
             _check(frame)
             yield frame
-        if self._fed - start > MAX_FRAME_BYTES:
+        if self._fed - self._end > MAX_FRAME_BYTES:
             raise errors.MalformedFrameError(f"frame has more than {MAX_FRAME_BYTES} bytes")
 
 
--- a/src/currantlead/peers/network.py
+++ b/src/currantlead/peers/network.py
@@ -27,6 +27,8 @@
         incarnation: Random number of this start of the process.
         dropped: Number of frames that were dropped: replies with an unknown id or incarnation, and frames of an old
             incarnation.
+        bytes_sent: Bytes of frames given to streams.
+        bytes_received: Bytes read from streams.
     """
 
     def __init__(self, vm: str, domain: str, *, host: str = "127.0.0.1", port: int = 0, advertise: str | None = None):
@@ -47,6 +49,8 @@
         self._server: asyncio.Server | None = None
         self.incarnation = secrets.randbits(63)
         self.dropped = 0
+        self.bytes_sent = 0
+        self.bytes_received = 0
 
     async def start(self) -> None:
         """Listen for streams of other VMs."""
@@ -129,7 +133,8 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + timeout_s
         try:
-            current = await asyncio.wait_for(asyncio.shield(self._open(vm)), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                current = await asyncio.shield(self._open(vm))
         except TimeoutError:
             raise errors.PeerUnreachableError(f"no stream to {vm} in time") from None
         return await current.request(kind, body, max(0.0, end - loop.time()))
@@ -266,7 +271,8 @@
 
     async def _request_locally(self, kind: str, body: dict[str, Any], timeout_s: float) -> dict[str, Any]:
         try:
-            return await asyncio.wait_for(self._run_handler(self._vm, kind, body), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                return await self._run_handler(self._vm, kind, body)
         except TimeoutError:
             raise errors.PeerAnswerLostError(f"{self._vm} did not answer {kind} in time") from None
         except errors.PeerAnswerLostError:
--- a/src/currantlead/peers/stream.py
+++ b/src/currantlead/peers/stream.py
@@ -17,6 +17,8 @@
 
     incarnation: int
     dropped: int
+    bytes_sent: int
+    bytes_received: int
 
     def hello(self) -> dict[str, Any]:
         """Return the body of this VM's hello frame."""
@@ -72,6 +74,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Pass on the frames that are complete."""
+        self._owner.bytes_received += len(data)
         try:
             for kind, number, incarnation, body in self._decoder.feed(data):
                 if not self.vm:
@@ -132,6 +135,7 @@
         if transport.get_write_buffer_size() + len(data) > SEND_BUFFER_BYTES:
             raise errors.PeerUnreachableError(f"send buffer of {self.vm} is full")
         transport.write(data)
+        self._owner.bytes_sent += len(data)
 
     async def request(self, kind: str, body: dict[str, Any], timeout_s: float) -> dict[str, Any]:
         """Send a request and wait for its reply.
--- a/src/currantlead/timers.py
+++ b/src/currantlead/timers.py
@@ -129,7 +129,9 @@
             due = self._queue.next_due()
             delay = None if due is None else max(0.0, due - self.now())
             try:
-                await asyncio.wait_for(self._wake.wait(), delay)
+                # asyncio.wait_for of Python 3.11 may swallow a cancellation that comes together with the event.
+                async with asyncio.timeout(delay):
+                    await self._wake.wait()
             except TimeoutError:
                 continue
 
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,28 @@
+"""Tests of rendezvous hashing."""
+
+from currantlead.routing import placement
+
+VMS = [f"vm{number}" for number in range(8)]
+
+
+def test_rank_is_the_same_in_every_process():
+    """Guards against a hash that depends on the process or the release, so that VMs disagree about owners."""
+    assert placement.rank("owner:kiria", ["vm1", "vm2", "vm3", "vm4"]) == ("vm2", "vm4", "vm3", "vm1")
+
+
+def test_rank_does_not_depend_on_the_order_of_candidates():
+    """Guards against VMs that list a view's members in another order."""
+    assert placement.rank("key", VMS) == placement.rank("key", VMS[::-1])
+
+
+def test_leaving_candidate_moves_only_its_own_keys():
+    """Guards against a view change that moves roles between VMs that stay."""
+    for number in range(200):
+        before = placement.rank(f"key{number}", VMS)
+        assert placement.rank(f"key{number}", VMS[1:]) == tuple(vm for vm in before if vm != VMS[0])
+
+
+def test_keys_are_spread_evenly():
+    """Guards against a weight that prefers some VMs."""
+    firsts = [placement.rank(f"key{number}", VMS)[0] for number in range(4000)]
+    assert all(400 < firsts.count(vm) < 600 for vm in VMS)
