--- /dev/null
+++ b/tests/group_model.py
@@ -0,0 +1,121 @@
+"""A model of three instances and a store that loses answers, for tests of the promotion steps."""
+
+import dataclasses
+
+from currantlead import errors
+from currantlead.control import failover, model
+
+NAMES = ("a", "b", "c")
+
+
+def make_group(**changes):
+    """Return a stable group in term 1 with primary ``a``."""
+    instances = tuple(model.Instance(name, f"http://{name}", f"domain-{name}") for name in NAMES)
+    group = model.Group("db", 1, model.Phase.STABLE, "a", instances, {1: 0}, 1)
+    return dataclasses.replace(group, **changes)
+
+
+@dataclasses.dataclass
+class FakeInstance:
+    """Follow the rules of ``POST /term``; the log is a list of (term, value)."""
+
+    name: str
+    term: int = 1
+    role: str = "replica"
+    follows: str | None = "a"
+    log: list = dataclasses.field(default_factory=list)
+    up: bool = True
+    silent_s: float = 0.0
+
+    @property
+    def log_term(self):
+        """Return the term of the last record."""
+        return self.log[-1][0] if self.log else 0
+
+    def status(self):
+        """Answer ``GET /status``."""
+        size = len(self.log)
+        return failover.Status(self.name, self.role, self.term, self.log_term, size, size, self.silent_s)
+
+    def set_term(self, order):
+        """Answer ``POST /term``."""
+        if order.term >= self.term:
+            self.term, self.role, self.follows = order.term, order.role, order.primary or None
+            # A repeated message must not discard records that came in the same term.
+            if order.start_index is not None and self.log_term < order.term:
+                del self.log[order.start_index :]
+        return self.status()
+
+
+class FakeStore:
+    """Hold one record; a write is conditional on its version."""
+
+    def __init__(self, group, conditional=True):
+        self.group = group
+        self.conditional = conditional
+
+    def write(self, group):
+        """Apply a conditional update and return the stored record."""
+        if self.conditional and group.version != self.group.version:
+            raise errors.VersionConflictError(f"version is {self.group.version}")
+        self.group = dataclasses.replace(group, version=self.group.version + 1)
+        return self.group
+
+
+class Cluster:
+    """Check the safety rules over instances, a store and messages under way."""
+
+    def __init__(self, *, conditional=True):
+        self.instances = {name: FakeInstance(name) for name in NAMES}
+        self.instances["a"].role = "primary"
+        self.store = FakeStore(make_group(), conditional)
+        self.primaries = {1: {"a"}}
+        self.acknowledged = {}
+        self.values = 0
+
+    def write(self, name):
+        """Append a record at an instance that acts as primary."""
+        instance = self.instances[name]
+        if instance.up and instance.role == "primary":
+            self.values += 1
+            instance.log.append((instance.term, self.values))
+
+    def replicate(self, source, target):
+        """Copy the next record from a primary to an instance that follows it in its term."""
+        primary, replica = self.instances[source], self.instances[target]
+        linked = primary.role == "primary" and replica.role == "replica" and replica.follows == source
+        if linked and primary.up and replica.up and primary.term == replica.term and source != target:
+            size = len(replica.log)
+            if size < len(primary.log):
+                assert replica.log == primary.log[:size], f"{target} has diverged from {source}"
+                replica.log.append(primary.log[size])
+
+    def check(self):
+        """Note each acknowledgement that is possible now and check all rules."""
+        for instance in self.instances.values():
+            if instance.role == "primary":
+                holders = self.primaries.setdefault(instance.term, set())
+                holders.add(instance.name)
+                assert len(holders) == 1, f"term {instance.term} has the primaries {sorted(holders)}"
+                self._check_kept(instance)
+        for instance in self.instances.values():
+            if instance.role == "primary" and instance.up:
+                self._acknowledge(instance)
+
+    def _acknowledge(self, primary):
+        newest = max(instance.term for instance in self.instances.values() if instance.role == "primary")
+        for index, record in enumerate(primary.log, start=1):
+            copies = [
+                i
+                for i in self.instances.values()
+                if i.term == i.log_term == primary.term and len(i.log) >= index and i.up
+            ]
+            if record[0] == primary.term and len(copies) >= 2 and index not in self.acknowledged:
+                assert primary.term == newest, f"{primary.name} acknowledges after its replacement"
+                self.acknowledged[index] = record
+
+    def _check_kept(self, primary):
+        for index, record in self.acknowledged.items():
+            if record[0] <= primary.term and primary.term == max(self.primaries):
+                kept = primary.log[index - 1] if len(primary.log) >= index else None
+                assert kept == record, f"{primary.name} in term {primary.term} lacks the acknowledged {record}"
