--- a/src/currantlead/daemon.py
+++ b/src/currantlead/daemon.py
@@ -7,6 +7,7 @@
 import signal
 from typing import Any
 
+import aiohttp
 import prometheus_client
 
 from currantlead import interfaces, logs, settings, timers
@@ -18,6 +19,7 @@
     directory,
     division,
     drain,
+    failover,
     instances,
     members,
     model,
@@ -36,6 +38,8 @@
 """Requests are still accepted for this long after health answers leaving: balancers poll it about every 0.5 s."""
 RELEASE_POLL_S = 0.02
 STATE_CHECK_S = 0.25
+STATUS_CALLS = 64
+"""Status questions to instances under way at once."""
 
 
 class Daemon:
@@ -62,6 +66,7 @@
     async def start(self) -> None:
         """Open the sockets, join the domain's view and answer ready once a configuration is known."""
         self.timers.start()
+        self.http = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=STATUS_CALLS))
         await self.network.start()
         self._build()
         await self.relay.start()
@@ -100,7 +105,7 @@
             platform=self.platform,
             peers=self.network,
             directory=self.directory,
-            client=instances.HttpInstances(),
+            client=instances.HttpInstances(self.http),
             clock=self.timers,
             rank=placement.rank,
             on_group=self._learn_group,
@@ -146,6 +151,7 @@
         await self.relay.stop()
         await self.network.stop()
         await self.platform.close()
+        await self.http.close()
         await self.timers.stop()
         _log.info("stopped")
 
@@ -170,7 +176,11 @@
             await asyncio.sleep(RELEASE_POLL_S)
 
     def _report_silent(self, group: str, instance: str, term: int) -> None:
-        self.coordinator.report_silent(group, instance, term)
+        record = self.directory.groups.get(group)
+        if record is None or (record.primary, record.term) != (instance, term):
+            return
+        for vm in failover.monitors(record, self.directory.views, placement.rank):
+            self.network.notify(vm, "suspect", {"group": group})
 
     def _shares_adopted(self) -> int:
         view = self.members.view
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -166,10 +166,11 @@
         primary = self.primary_at_start(database, number)
         members = {f"{database}-{domain}": self.endpoints[f"{database}-{domain}"] for domain in self.deployment.vms}
         peers = {name: process.url for name, process in members.items()}
+        listed = [{"name": name, "url": url} for name, url in peers.items()]
         for name, process in sorted(members.items(), key=lambda item: item[0] != primary):
             role = "primary" if name == primary else "replica"
             body = {"term": 1, "role": role, "primary": primary, "primary_url": peers[primary], "start_index": 0}
-            call(f"{process.url}/term", {**body, "peers": peers})
+            call(f"{process.url}/term", {**body, "peers": listed})
             call(f"{process.url}/control", {"lag_s": self.deployment.lag_s})
 
     def primary_at_start(self, database: str, number: int) -> str:
