--- a/tests/standins/memory.py
+++ b/tests/standins/memory.py
@@ -10,6 +10,21 @@
 from currantlead.control import model
 
 
+class Clock:
+    """Hold a clock that pauses move at once."""
+
+    def __init__(self) -> None:
+        self.reading = 0.0
+
+    def now(self) -> float:
+        """Return the reading."""
+        return self.reading
+
+    async def sleep(self, seconds: float) -> None:
+        """Move the clock."""
+        self.reading += max(seconds, 0.01)
+
+
 class MemoryPlatform:
     """Hold objects in memory.
 
@@ -107,6 +122,26 @@
         return [(name, version) for at, name, version in sorted(found) if at > since]
 
 
+class CountedPlatform:
+    """Pass calls to a shared platform and count those of one VM; ``down`` cuts this VM off."""
+
+    def __init__(self, platform: MemoryPlatform) -> None:
+        self.platform = platform
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.down = False
+
+    def __getattr__(self, name: str) -> Callable[..., Awaitable[Any]]:
+        """Return a counted call."""
+
+        async def call(*arguments: Any, **options: Any) -> Any:
+            self.calls[name] += 1
+            if self.down:
+                raise errors.PlatformUnavailableError("this VM is cut off")
+            return await getattr(self.platform, name)(*arguments, **options)
+
+        return call
+
+
 class Network:
     """Carry frames between ``MemoryPeers``; ``cut`` holds the VMs that nobody reaches."""
 
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -1,13 +1,13 @@
 """Tests of the stand-in balancer."""
 
 import asyncio
-import signal
-import sys
 
 import aiohttp
 import pytest
 from aiohttp import web
 
+from tests.standins import processes
+
 
 async def start_vm(name, state):
     """Serve a VM whose health follows ``state``; return the runner and its port."""
@@ -40,20 +40,12 @@
 
 
 @pytest.mark.processes
-async def test_balancer_follows_health(tmp_path):
+async def test_balancer_follows_health():
     """New connections go to all healthy VMs and to no other one."""
     state = {"v1": True, "v2": True}
     vms = {name: await start_vm(name, state) for name in state}
-    port_file = tmp_path / "port"
     targets = [f"--target={name}=127.0.0.1:{port}" for name, (_, port) in vms.items()]
-    arguments = ["-m", "tests.standins.balancer", "--port-file", str(port_file), *targets]
-    process = await asyncio.create_subprocess_exec(sys.executable, *arguments)
-    try:
-        for _ in range(500):
-            if port_file.exists():
-                break
-            await asyncio.sleep(0.02)
-        port = int(port_file.read_text())
+    async with processes.start("balancer", *targets) as port:
         for healthy in ({"v1", "v2"}, {"v2"}, {"v1", "v2"}, {"v1"}):
             state.update({name: name in healthy for name in state})
             await asyncio.sleep(1.2)
@@ -61,8 +53,5 @@
         await vms["v1"][0].cleanup()
         await asyncio.sleep(1.2)
         assert await ask(port, 2) == {None}
-    finally:
-        process.send_signal(signal.SIGTERM)
-        assert await asyncio.wait_for(process.wait(), 5) == 0
-        for runner, _ in vms.values():
-            await runner.cleanup()
+    for runner, _ in vms.values():
+        await runner.cleanup()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import json
-import signal
-import sys
 
 import aiohttp
 import pytest
@@ -12,6 +10,7 @@
 from currantlead import errors, interfaces
 from currantlead.control import configuration, directory, model, platform
 from tests.standins import platform as standin
+from tests.standins import processes
 
 
 @pytest.fixture
@@ -140,18 +139,9 @@
 @pytest.mark.processes
 async def test_separate_process(tmp_path):
     """The stand-in starts as a process with a seed, names its port and ends on SIGTERM."""
-    seed, port = tmp_path / "seed.json", tmp_path / "port"
+    seed = tmp_path / "seed.json"
     seed.write_text(json.dumps({"groups": {"ledger": {"term": 3}}}))
-    arguments = ["-m", "tests.standins.platform", "--port", "0", "--port-file", str(port), "--seed", str(seed)]
-    process = await asyncio.create_subprocess_exec(sys.executable, *arguments)
-    try:
-        for _ in range(500):
-            if port.exists():
-                break
-            await asyncio.sleep(0.02)
-        client = platform.HttpPlatform(f"http://127.0.0.1:{port.read_text()}")
+    async with processes.start("platform", "--seed", str(seed)) as port:
+        client = platform.HttpPlatform(f"http://127.0.0.1:{port}")
         assert (await client.read("groups", "ledger")).value == {"term": 3}
         await client.close()
-    finally:
-        process.send_signal(signal.SIGTERM)
-        assert await asyncio.wait_for(process.wait(), 5) == 0
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,7 +1,6 @@
 """Tests of relays and of the exchange of objects between VMs."""
 
 import asyncio
-import collections
 import dataclasses
 
 import pytest
@@ -11,30 +10,12 @@
 from tests.standins import memory
 
 
-class Counted:
-    """Pass calls to a shared platform and count those of one VM; ``down`` cuts this VM off."""
-
-    def __init__(self, platform):
-        self.platform, self.calls, self.down = platform, collections.Counter(), False
-
-    def __getattr__(self, name):
-        """Return a counted call."""
-
-        async def call(*arguments, **options):
-            self.calls[name] += 1
-            if self.down:
-                raise errors.PlatformUnavailableError("this VM is cut off")
-            return await getattr(self.platform, name)(*arguments, **options)
-
-        return call
-
-
 class Vm:
     """Hold the parts of one VM."""
 
     def __init__(self, world, name, domain):
         self.clock = world.clock
-        self.platform = Counted(world.platform)
+        self.platform = memory.CountedPlatform(world.platform)
         self.peers = world.network.join(name, domain)
         self.cache = directory.Directory(self.clock.now)
         self.relay = relay.Relay(
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -15,21 +15,6 @@
 from tests.standins import memory
 
 
-class Clock:
-    """Hold a clock that pauses move."""
-
-    def __init__(self):
-        self.reading = 0.0
-
-    def now(self):
-        """Return the reading."""
-        return self.reading
-
-    async def sleep(self, seconds):
-        """Move the clock at once."""
-        self.reading += max(seconds, 0.01)
-
-
 class CheckedPlatform(memory.MemoryPlatform):
     """Check at each write of the index that its parts exist, and keep every configuration ever in force."""
 
@@ -76,7 +61,7 @@
 @pytest.fixture
 def clock():
     """Return a clock at 0."""
-    return Clock()
+    return memory.Clock()
 
 
 @pytest.fixture
@@ -210,7 +195,7 @@
     def __init__(self):
         super().__init__()
         self.runner = asyncio.Runner()
-        self.clock, self.platform = Clock(), CheckedPlatform()
+        self.clock, self.platform = memory.Clock(), CheckedPlatform()
         self.operators = [operator(self.platform, self.clock) for _ in range(3)]
         self.vms = [directory.Directory(self.clock.now) for _ in range(3)]
         self.numbers = [0, 0, 0]
