Keep writes waiting for a new term, and replace closed connections

Cause: right after a promotion replicas still answer in the older term, and the tracker took this for a lost majority. Closed idle connections kept their count until they were lent. A read at a primary that is being replaced could show records that the election discards. Each change of shared state looked through all groups.

Change: a tracker younger than 2 s waits for its first majority; the pool drops closed idle connections and backs off from a dead instance; such reads are refused as not run; many changes share one scan of the groups.

--- a/src/currantlead/connections/acknowledgement.py
+++ b/src/currantlead/connections/acknowledgement.py
@@ -16,7 +16,9 @@
 POLL_S = 1.0
 # A replica counts as reachable for two polls, so that one late answer does not refuse writes.
 REACHABLE_S = 2.0
-PAUSE_S = 0.1
+PAUSE_S = 0.05
+# Replicas learn of a new term a little after the group record has it, so a young tracker does not refuse at once.
+START_S = 2.0
 
 _log = logs.part("acknowledge")
 
@@ -31,7 +33,7 @@
         self._majority = len(group.instances) // 2 + 1
         self._received: dict[str, int] = {}
         self._contact: dict[str, float] = {}
-        self._failed: set[str] = set()
+        self._started_at: float | None = None
         self._acknowledged = -1 if self._majority > 1 else 1 << 62
         self._known = asyncio.Event()
         self._waiting: list[tuple[int, int, asyncio.Future[bool]]] = []
@@ -47,6 +49,9 @@
     def start(self) -> None:
         """Start one long poll for each replica."""
         loop = asyncio.get_running_loop()
+        self._started_at = loop.time()
+        if self._majority == 1:
+            self._known.set()
         self._tasks = [loop.create_task(self._follow(name)) for name in self._replicas]
 
     async def stop(self) -> None:
@@ -60,9 +65,10 @@
     async def reachable(self, *, timeout_s: float) -> bool:
         """Tell whether a majority, the primary included, was reachable in this term a moment ago.
 
-        Waits for the first answers after a start; later calls do not wait.
+        Waits if no majority was reachable since the start; later calls do not wait.
         """
-        if not self._known.is_set() and not self._majority_reachable():
+        loop = asyncio.get_running_loop()
+        if self._started_at is None or (not self._known.is_set() and loop.time() - self._started_at < START_S):
             try:
                 async with asyncio.timeout(timeout_s):
                     await self._known.wait()
@@ -107,11 +113,10 @@
             self._lose(name)
             return False
         self._contact[name] = now
-        self._failed.discard(name)
         if status.received_index > self._received.get(name, -1):
             self._received[name] = status.received_index
             self._advance()
-        if self._majority_reachable() or len(self._contact.keys() | self._failed) == len(self._replicas):
+        if self._majority_reachable():
             self._known.set()
         return True
 
@@ -135,9 +140,6 @@
     def _lose(self, name: str) -> None:
         if self._contact.pop(name, None) is not None:
             _log.warning("{}: replica {} gives no positions in term {}", self._group, name, self.term)
-        self._failed.add(name)
-        if len(self._failed | self._contact.keys()) == len(self._replicas):
-            self._known.set()
 
     def _fail_waiting(self) -> None:
         for _, _, waiter in self._waiting:
--- a/src/currantlead/connections/endpoint.py
+++ b/src/currantlead/connections/endpoint.py
@@ -202,13 +202,7 @@
     async def open(self, *, timeout_s: float) -> result.Result[Connection, verdict.Refusal]:
         """Open one database connection; a refusal is always NOT_RUN, because no statement was sent."""
         connector = _SingleConnector()
-        session = aiohttp.ClientSession(
-            connector=connector,
-            headers=self._headers,
-            cookie_jar=aiohttp.DummyCookieJar(),
-            timeout=aiohttp.ClientTimeout(total=None),
-            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
-        )
+        session = self._create_session(connector)
         try:
             async with asyncio.timeout(timeout_s), session.post(f"{self.url}/connect", json={}) as answer:
                 body = json.loads(await answer.read())
@@ -256,11 +250,21 @@
             await self._session.close()
             self._session = None
 
+    def _create_session(self, connector: aiohttp.TCPConnector | None) -> aiohttp.ClientSession:
+        # Cookies, timers and headers that no instance reads would cost time for each statement.
+        return aiohttp.ClientSession(
+            connector=connector,
+            headers=self._headers,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            timeout=aiohttp.ClientTimeout(total=None),
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+        )
+
     async def _ask(
         self, method: str, path: str, body: dict[str, Any] | None, timeout_s: float
     ) -> result.Result[Status, verdict.Refusal]:
         if self._session is None:
-            self._session = aiohttp.ClientSession(headers=self._headers, cookie_jar=aiohttp.DummyCookieJar())
+            self._session = self._create_session(None)
         asked_at = time.monotonic()
         try:
             async with (
--- a/src/currantlead/connections/holder.py
+++ b/src/currantlead/connections/holder.py
@@ -188,7 +188,8 @@
 
     def _on_change(self, kind: str, name: str) -> None:
         if not self._stopping:
-            self._places.refresh(scan=True)
+            self._places.refresh()
+            self._places.request_scan()
 
     def _note(self, request: str, instance: str, term: int, outcome: interfaces.Outcome) -> interfaces.Outcome:
         if outcome.is_ok():
--- a/src/currantlead/connections/places.py
+++ b/src/currantlead/connections/places.py
@@ -59,7 +59,7 @@
         if group is None or group.phase is not model.Phase.STABLE:
             return None
         known = self._trackers.get(database)
-        if known is not None and _same_positions(known[0], group):
+        if known is not None and (known[0] is group or _same_positions(known[0], group)):
             return known[1]
         self._drop_tracker(database)
         replicas = {
@@ -101,6 +101,10 @@
             self._scanned_at = now
             self._scan()
 
+    def request_scan(self) -> None:
+        """Look through all groups at the next refresh; many changes at once then cost one scan."""
+        self._scanned_at = float("-inf")
+
     def settled(self) -> bool:
         """Tell whether no instance has more connections than this VM's share allows."""
         return all(each.pool.open_count <= each.pool.limit for each in self._dispatchers.values())
@@ -148,7 +152,7 @@
         share = self._membership.holds(instance.name, instance.domain)
         if share > 0:
             held.set_share(service, share)
-            held.pool.refill()
+            held.pool.prune()
             return
         held.set_share(service, 0.0)
         # Without a lease another VM may open connections at any moment; with one, open transactions may finish,
--- a/src/currantlead/connections/pool.py
+++ b/src/currantlead/connections/pool.py
@@ -17,8 +17,9 @@
 Open = Callable[[], Awaitable[result.Result[endpoint.Connection, verdict.Refusal]]]
 
 WARM = 2
-# After a failed opening the next one waits, so that a dead instance is not flooded with attempts.
+# After a failed opening the next one waits, twice as long each time, so that a dead instance is not flooded.
 RETRY_S = 0.1
+RETRY_MOST_S = 1.0
 
 _log = logs.part("pool")
 
@@ -37,6 +38,7 @@
         self._openings: set[asyncio.Task[None]] = set()
         self._failure: verdict.Refusal | None = None
         self._retry_at = 0.0
+        self._retry_s = RETRY_S
         self._closed = False
 
     @property
@@ -112,6 +114,15 @@
             self._openings.add(task)
             task.add_done_callback(self._openings.discard)
 
+    def prune(self) -> None:
+        """Drop idle connections that the instance closed, and open others in their place."""
+        if not all(each.usable for each in self._idle):
+            for connection in self._idle:
+                if not connection.usable:
+                    connection.close()
+            self._idle = [each for each in self._idle if each.usable]
+        self.refill()
+
     def close(self) -> None:
         """Close every connection, lent ones included; their statements end in doubt."""
         self._closed = True
@@ -128,17 +139,24 @@
         outcome = await self._open()
         self._openings.discard(asyncio.current_task())
         if outcome.is_err():
-            self._failure = outcome.err_value
-            self._retry_at = asyncio.get_running_loop().time() + RETRY_S
-            _log.warning("{}: {}", self._name, outcome.err_value.detail)
-            self._fail_waiters()
+            self._note_failure(outcome.err_value)
             return
-        self._failure, self._retry_at = None, 0.0
+        self._failure, self._retry_at, self._retry_s = None, 0.0, RETRY_S
         if self._closed or self.open_count >= self._limit:
             outcome.ok_value.close()
             return
         self._hand_over(outcome.ok_value)
 
+    def _note_failure(self, refusal: verdict.Refusal) -> None:
+        if self._failure is None:
+            _log.warning("{}: {}", self._name, refusal.detail)
+        self._failure = refusal
+        now = asyncio.get_running_loop().time()
+        if now >= self._retry_at:
+            self._retry_at = now + self._retry_s
+            self._retry_s = min(2 * self._retry_s, RETRY_MOST_S)
+        self._fail_waiters()
+
     def _hand_over(self, connection: endpoint.Connection) -> None:
         while self._waiting:
             waiter = self._waiting.popleft()
--- a/tests/test_acknowledgement.py
+++ b/tests/test_acknowledgement.py
@@ -96,13 +96,18 @@
 
 
 async def test_first_write_waits_for_first_answer():
-    """A new holder does not take silence at its start for a lost majority."""
+    """A new holder takes neither silence nor replicas of the older term for a lost majority."""
     replicas = {name: Replica(name) for name in "bc"}
     tracker = acknowledgement.Tracker(GROUP, replicas)
     waiting = asyncio.create_task(tracker.reachable(timeout_s=1))
     await asyncio.sleep(0.01)
     assert not waiting.done()
+    for replica in replicas.values():
+        replica.set(term=1)
     tracker.start()
+    await asyncio.sleep(0.1)
+    assert not waiting.done()
+    replicas["c"].set(term=2)
     assert await waiting
     await tracker.stop()
     assert not await tracker.wait(1, timeout_s=1)
--- a/tests/test_holder.py
+++ b/tests/test_holder.py
@@ -102,6 +102,11 @@
         {"write": True},
         Reason.NO_PRIMARY,
     ),
+    "primary being replaced": (
+        lambda each: each.directory.set_group(phase=model.Phase.ELECTING),
+        {},
+        Reason.NO_PRIMARY,
+    ),
     "lost position": (
         lambda each: each.directory.set_group(starts={2: 5}),
         {"after": messages.Position(1, 6)},
@@ -412,6 +417,27 @@
     assert sum(len(each._connections) for each in cluster.instances.values()) == 0
 
 
+async def test_promotion_interrupts_writes_briefly(cluster):
+    """After a promotion a holder writes at the new primary as soon as a replica follows it."""
+    for name, term in (("ledger-b", 2), ("ledger-a", 3)):
+        await asyncio.sleep(0.1)
+        await cluster.promote(name, term)
+        assert reason_of(await cluster.holder.execute(insert(term, instance=name))) == (Reason.STALE_TERM, NOT_RUN)
+        written = await cluster.holder.execute(insert(term, instance=name, term=term, timeout_s=1.0))
+        assert written.ok_value.position.term == term
+    assert await rows(cluster, "ledger-a", 3) == [2, 3]
+
+
+async def test_returning_instance_gets_connections_again(cluster):
+    """Connections that an instance closed are replaced in the background."""
+    replica = cluster.instances["ledger-b"]
+    for connection in list(replica._connections.values()):
+        connection.protocol.transport.abort()
+    await asyncio.sleep(0.3)
+    assert len(replica._connections) >= 2
+    assert (await cluster.holder.execute(work(instance="ledger-b"))).is_ok()
+
+
 async def test_peer_handlers(cluster):
     """Forwarded work and malformed bodies get replies in the form of the peer interface."""
     body = msgpack.unpackb(msgpack.packb(wire.to_map(work("select 1"))))
