Refuse quickly at a dead instance, and read the log's term by one name

Cause: in a trial with processes a write sent just after the primary was killed took 10 s, its whole time: the holder repeated an unreachable instance until the deadline. Promotions stopped because the coordinator expected log_term where the stand-in reports received_term. Ruled out: the wait for a pooled connection, which ended at once.

A new test of the holder failed before (2 s timeout used up) and passes.

--- a/src/currantlead/connections/turns.py
+++ b/src/currantlead/connections/turns.py
@@ -10,7 +10,9 @@
 
 # An instance that is busy with locks refuses quickly; the statement gives its slot away and waits this long.
 BUSY_PAUSE_S = 0.02
-_AGAIN = (verdict.Reason.NO_CONNECTION, verdict.Reason.UNREACHABLE)
+# An instance that cannot be reached is tried again for this long only: long enough to replace a closed connection,
+# short enough that the proxy can turn to another instance or wait for a promotion.
+UNREACHABLE_REPEAT_S = 0.1
 
 Outcome = result.Result[endpoint.Reply, verdict.Refusal]
 Send = Callable[[endpoint.Connection], Awaitable[Outcome]]
@@ -164,6 +166,7 @@
         pinned: bool,
     ) -> Outcome:
         weight, length, queue_s = self._limits(held.group, organisation)
+        started = self._clock.now()
         while True:
             queue_deadline = min(deadline, self._clock.now() + queue_s)
             refusal = await held.enter(
@@ -177,7 +180,8 @@
                 outcome = await step()
             finally:
                 held.leave()
-            if outcome.is_ok() or not _may_repeat(outcome.err_value) or self.left(deadline) <= BUSY_PAUSE_S:
+            waited_s = self._clock.now() - started
+            if outcome.is_ok() or not _may_repeat(outcome.err_value, waited_s) or self.left(deadline) <= BUSY_PAUSE_S:
                 return outcome
             await asyncio.sleep(BUSY_PAUSE_S)
 
@@ -198,5 +202,8 @@
         return checks.refuse(verdict.Reason.LEAVING, f"{name} is leaving", 0.2)
 
 
-def _may_repeat(refusal: verdict.Refusal) -> bool:
-    return refusal.verdict is verdict.Verdict.NOT_RUN and refusal.reason in _AGAIN
+def _may_repeat(refusal: verdict.Refusal, waited_s: float) -> bool:
+    if refusal.verdict is not verdict.Verdict.NOT_RUN:
+        return False
+    unreachable = refusal.reason is verdict.Reason.UNREACHABLE and waited_s < UNREACHABLE_REPEAT_S
+    return unreachable or refusal.reason is verdict.Reason.NO_CONNECTION
--- a/src/currantlead/control/instances.py
+++ b/src/currantlead/control/instances.py
@@ -15,7 +15,7 @@
     instance: str
     role: str
     term: int
-    log_term: int | None = None
+    log_term: int | None = pydantic.Field(default=None, validation_alias="received_term")
     index: int
     received_index: int
     primary_contact_age: float | None = None
--- a/tests/test_holder.py
+++ b/tests/test_holder.py
@@ -446,3 +446,12 @@
     reply = await cluster.peers.handlers["begin"]("vm-2", {"request": 1})
     assert reason_of(wire.outcome_from_map(reply)) == (Reason.MALFORMED, NOT_RUN)
     assert set(cluster.peers.handlers) == {"execute", "begin", "transact", "finish"}
+
+
+async def test_dead_instance_is_refused_quickly(cluster):
+    """A dead instance costs a request a moment, not its whole time, so that the proxy can wait for a promotion."""
+    await cluster.instances["ledger-b"].stop()
+    started = asyncio.get_running_loop().time()
+    refused = await cluster.holder.execute(work(instance="ledger-b", timeout_s=10.0))
+    assert reason_of(refused) == (Reason.UNREACHABLE, NOT_RUN)
+    assert asyncio.get_running_loop().time() - started < 1.0
--- a/tests/test_instances.py
+++ b/tests/test_instances.py
@@ -6,7 +6,15 @@
 
 from currantlead.control import failover, instances, model
 
-STATUS = {"instance": "a", "group": "db", "role": "replica", "term": 3, "log_term": 2, "index": 4, "received_index": 5}
+STATUS = {
+    "instance": "a",
+    "group": "db",
+    "role": "replica",
+    "term": 3,
+    "received_term": 2,
+    "index": 4,
+    "received_index": 5,
+}
 
 
 async def serve(body, status=200):
