Move the tests of transactions to their own module

Change: tests of transactions are in test_pinned.py, the requests that both modules send in standins/calls.py.

--- /dev/null
+++ b/tests/test_pinned.py
@@ -0,0 +1,136 @@
+"""Tests of transactions at the holder, against three stand-in instances."""
+
+import asyncio
+
+import pytest
+
+from currantlead import verdict
+from tests.standins import calls, fakes
+
+NOT_RUN, MAY_HAVE_RUN = verdict.Verdict.NOT_RUN, verdict.Verdict.MAY_HAVE_RUN
+Reason = verdict.Reason
+
+
+@pytest.fixture
+async def cluster():
+    """Run a group with the table ``t`` and a holder of all its instances."""
+    async with fakes.running() as running:
+        assert (await running.holder.execute(calls.work("create table t (x)", write=True))).is_ok()
+        yield running
+
+
+async def test_transaction_commits_or_rolls_back(cluster):
+    """A transaction takes effect as a whole, and its id is of no use afterwards."""
+    for commit in (True, False):
+        transaction = (await calls.begin(cluster)).ok_value.transaction
+        assert (await calls.transact(cluster, transaction)).is_ok()
+        assert await calls.rows(cluster) == ([] if commit else [9])
+        finished = await calls.finish(cluster, transaction, commit=commit)
+        assert (finished.ok_value.position is not None) == commit
+        assert calls.reason_of(await calls.transact(cluster, transaction)) == (Reason.UNKNOWN_TRANSACTION, NOT_RUN)
+    assert await calls.rows(cluster) == [9]
+
+
+async def test_transaction_belongs_to_one_organisation(cluster):
+    """Neither another organisation nor a guessed secret reaches a transaction."""
+    transaction = (await calls.begin(cluster)).ok_value.transaction
+    guessed = transaction.rpartition(".")[0] + ".guess"
+    for outcome in (
+        await calls.transact(cluster, transaction, caller=calls.MILL),
+        await calls.finish(cluster, transaction, caller=calls.MILL),
+        await calls.transact(cluster, guessed),
+        await calls.transact(cluster, "nonsense"),
+    ):
+        assert calls.reason_of(outcome) == (Reason.UNKNOWN_TRANSACTION, NOT_RUN)
+    assert (await calls.finish(cluster, transaction)).is_ok()
+
+
+async def test_key_withdrawn_inside_transaction(cluster):
+    """A withdrawn key cannot go on with a transaction, nor commit it."""
+    transaction = (await calls.begin(cluster)).ok_value.transaction
+    assert (await calls.transact(cluster, transaction)).is_ok()
+    calls.withdraw(cluster)
+    assert calls.reason_of(await calls.transact(cluster, transaction)) == (Reason.UNKNOWN_KEY, NOT_RUN)
+    assert calls.reason_of(await calls.finish(cluster, transaction)) == (Reason.UNKNOWN_KEY, NOT_RUN)
+
+
+async def test_transaction_runs_one_statement_at_a_time(cluster):
+    """Two statements of a transaction are never mixed."""
+    transaction = (await calls.begin(cluster)).ok_value.transaction
+    cluster.primary.controls.statement_s = 0.1
+    first = asyncio.create_task(calls.transact(cluster, transaction))
+    await asyncio.sleep(0.02)
+    assert calls.reason_of(await calls.transact(cluster, transaction)) == (Reason.TRANSACTION_BUSY, NOT_RUN)
+    assert (await first).is_ok()
+    assert (await calls.finish(cluster, transaction)).is_ok()
+
+
+async def test_begin_waits_for_lock_without_blocking_the_lock_owner():
+    """With one slot, a begin that waits for a lock does not keep the owner of the lock from committing."""
+    async with fakes.running(service={"slots": 1}) as cluster:
+        await cluster.holder.execute(calls.work("create table t (x)", write=True))
+        first = (await calls.begin(cluster)).ok_value.transaction
+        waiting = asyncio.create_task(calls.begin(cluster, calls.MILL))
+        await asyncio.sleep(0.05)
+        assert (await calls.transact(cluster, first)).is_ok()
+        assert (await calls.finish(cluster, first)).is_ok()
+        assert (await calls.finish(cluster, (await waiting).ok_value.transaction, caller=calls.MILL)).is_ok()
+
+
+@pytest.mark.parametrize(
+    ("sql", "control", "reason"),
+    [
+        ("insert into missing values (1)", {}, (Reason.SQL_ERROR, NOT_RUN)),
+        ("insert into t values (1)", {"lose_answers": 1}, (Reason.UNREACHABLE, MAY_HAVE_RUN)),
+    ],
+)
+async def test_failed_statement_ends_transaction(cluster, sql, control, reason):
+    """After an error or a lost answer the transaction is rolled back and cannot be committed."""
+    transaction = (await calls.begin(cluster)).ok_value.transaction
+    assert (await calls.transact(cluster, transaction)).is_ok()
+    for name, value in control.items():
+        setattr(cluster.primary.controls, name, value)
+    assert calls.reason_of(await calls.transact(cluster, transaction, sql)) == reason
+    assert calls.reason_of(await calls.finish(cluster, transaction)) == (Reason.UNKNOWN_TRANSACTION, NOT_RUN)
+    assert await calls.rows(cluster) == []
+
+
+async def test_lost_answer_of_commit_may_have_run(cluster):
+    """A commit in doubt is reported as such."""
+    transaction = (await calls.begin(cluster)).ok_value.transaction
+    await calls.transact(cluster, transaction)
+    cluster.primary.controls.lose_answers = 1
+    assert (await calls.finish(cluster, transaction)).err_value.verdict is MAY_HAVE_RUN
+    assert await calls.rows(cluster) == [9]
+
+
+async def test_idle_transaction_is_rolled_back(cluster):
+    """A forgotten transaction does not keep its connection and its locks."""
+    cluster.holder._pinned._idle_s = 0.1
+    transaction = (await calls.begin(cluster)).ok_value.transaction
+    await calls.transact(cluster, transaction)
+    await asyncio.sleep(0.25)
+    assert (await calls.finish(cluster, transaction)).err_value.reason is Reason.UNKNOWN_TRANSACTION
+    assert (await cluster.holder.execute(calls.insert(2))).is_ok()
+    assert await calls.rows(cluster) == [2]
+
+
+async def test_lost_lease_closes_all_connections(cluster):
+    """A VM without a lease keeps no connection, not even one of a transaction."""
+    transaction = (await calls.begin(cluster)).ok_value.transaction
+    cluster.membership.lease = False
+    await asyncio.sleep(0.3)
+    assert calls.reason_of(await calls.finish(cluster, transaction)) == (Reason.UNKNOWN_TRANSACTION, NOT_RUN)
+    assert [len(each._connections) for each in cluster.instances.values()] == [0, 0, 0]
+
+
+async def test_lost_share_lets_transaction_finish(cluster):
+    """A role that moves in a view change closes idle connections at once and cuts no transaction."""
+    transaction = (await calls.begin(cluster)).ok_value.transaction
+    cluster.membership.share = 0.0
+    await asyncio.sleep(0.3)
+    assert not cluster.holder.settled()
+    assert sum(len(each._connections) for each in cluster.instances.values()) == 1
+    assert (await calls.transact(cluster, transaction)).is_ok()
+    assert (await calls.finish(cluster, transaction)).is_ok()
+    assert cluster.holder.settled()
