--- a/src/currantlead/admission/bucket.py
+++ b/src/currantlead/admission/bucket.py
@@ -71,13 +71,14 @@
 class Ledger:
     """Count the tokens of one bucket: ``level + outstanding <= burst`` holds at all times."""
 
-    def __init__(self, rate: float, burst: int, *, accrue_from: float, first_number: int = 1):
+    def __init__(self, rate: float, burst: int, *, owned_since: float, first_number: int = 1):
         """Create an empty ledger.
 
         Args:
             rate: Tokens per second of this domain's share.
             burst: Amount of this domain's share.
-            accrue_from: Clock reading before which no token is created: the end of the previous owner's grants.
+            owned_since: Clock reading at which ownership became active. No token is created for one grant lifetime
+                from then, because grants of the previous owner may still be valid.
             first_number: Number of the first grant; a random one keeps apart the grants of successive owners.
         """
         self.rate = rate
@@ -85,7 +86,7 @@
         self.level = 0
         self.outstanding = 0
         self.loans: list[Loan] = []
-        self._accrued_until = accrue_from
+        self._accrued_until = owned_since + OWNER_LIFETIME_S
         self._fraction = 0.0
         self._grants: dict[int, Grant] = {}
         self._next_number = first_number
--- a/src/currantlead/admission/owner.py
+++ b/src/currantlead/admission/owner.py
@@ -71,9 +71,7 @@
             return None
         if account.ledger is None or account.owned_since != since:
             rate, burst = self.limits(account.name)
-            # Grants of the previous owner may be valid until then.
-            start = since + bucket.OWNER_LIFETIME_S
-            account.ledger = bucket.Ledger(rate, burst, accrue_from=start, first_number=secrets.randbits(60))
+            account.ledger = bucket.Ledger(rate, burst, owned_since=since, first_number=secrets.randbits(60))
             account.owned_since = since
             _log.info("owns the rate of {} in {} since {:.3f}", account.name, self._domain, since)
         return account.ledger
--- a/src/currantlead/border/listener.py
+++ b/src/currantlead/border/listener.py
@@ -176,6 +176,10 @@
         """Stop accepting, answer what has arrived, then stop the threads."""
         if not self.ready:
             return
+        self._connections._stop_requested = True
+        # A connection ends the selector's wait of up to half a second.
+        with contextlib.suppress(OSError):
+            socket.create_connection(self.bind_addr, timeout=1).close()
         self._connections.stop()
         self._accept_pending()
         for connection in self._connections.take_ready():
--- a/src/currantlead/border/models.py
+++ b/src/currantlead/border/models.py
@@ -1,5 +1,6 @@
 """Validate the bodies of callers' requests."""
 
+import math
 from typing import Annotated, Any, Literal
 
 import pydantic
@@ -8,9 +9,19 @@
 """Longest accepted statement in characters; larger ones are data that belongs in parameters."""
 MAX_PARAMS = 1024
 
-_Integer = Annotated[int, pydantic.Field(strict=True, ge=-(2**63), lt=2**63)]
-_Number = Annotated[float, pydantic.Field(strict=True, allow_inf_nan=False)]
-Parameter = Annotated[bool, pydantic.Field(strict=True)] | _Integer | _Number | str | None
+
+def _check_parameter(value: Any) -> Any:
+    # A union of types would turn an integer that is too long into a float and lose digits.
+    if value is None or isinstance(value, bool | str):
+        return value
+    if isinstance(value, int) and -(2**63) <= value < 2**63:
+        return value
+    if isinstance(value, float) and math.isfinite(value):
+        return value
+    raise ValueError("is not null, boolean, 64-bit integer, finite number or text")
+
+
+Parameter = Annotated[Any, pydantic.PlainValidator(_check_parameter)]
 
 
 class _Body(pydantic.BaseModel):
--- a/src/currantlead/border/server.py
+++ b/src/currantlead/border/server.py
@@ -133,7 +133,7 @@
         cherrypy.log.screen = False
         self._tree.mount(_Status(self), "", {"/": _QUIET})
         operators = _cptree.Tree()
-        operators.graft(_Operators(operator_key_digest, command), "/operators")
+        operators.graft(_Operators(operator_key_digest, command), "")
         self._callers = self._listener(address, self._tree, threads, client_timeout_s, request_timeout_s)
         self._operators = self._listener(operator_address, operators, 2, client_timeout_s, request_timeout_s)
         self._threads: list[threading.Thread] = []
@@ -231,14 +231,17 @@
         return [body]
 
     def _serve(self, environ: dict[str, Any]) -> tuple[str, dict[str, Any]]:
-        if environ.get("PATH_INFO") != "/commands":
+        if environ.get("SCRIPT_NAME", "") + environ.get("PATH_INFO", "") != "/operators/commands":
             return "404 Not Found", {"error": "path: no such route"}
         if environ["REQUEST_METHOD"] != "POST":
             return "405 Method Not Allowed", {"error": "method: this route takes POST"}
         if not self._accepts(environ.get("HTTP_AUTHORIZATION", "")) or self._command is None:
             return "401 Unauthorized", {"error": "Authorization: is not the operator key"}
         length = int(environ.get("CONTENT_LENGTH") or 0)
-        raw = environ["wsgi.input"].read(length)
+        try:
+            raw = environ["wsgi.input"].read(length)
+        except OSError:
+            raw = b""
         if len(raw) != length:
             return "400 Bad Request", {"error": "body: is shorter than Content-Length"}
         try:
--- a/tests/rates.py
+++ b/tests/rates.py
@@ -8,7 +8,9 @@
 from currantlead import errors, interfaces, messages, timers
 from currantlead.admission import service
 from currantlead.control import model
+from currantlead.identity import keys
 
+digest = keys.digest
 _tasks = set()
 
 
--- /dev/null
+++ b/tests/test_keys.py
@@ -0,0 +1,53 @@
+"""Tests of key digests and grants."""
+
+import pytest
+
+from currantlead.control import model
+from currantlead.identity import keys
+
+
+def configuration(**tenants):
+    """Build a configuration from key lists by organisation."""
+    organisations = {
+        name: model.Organisation(name, 1, 1, ("sql",), {key: keys.digest(key) for key in found})
+        for name, found in tenants.items()
+    }
+    databases = {"ledger": model.Database("ledger", "sql"), "archive": model.Database("archive", "cold")}
+    return model.Configuration(3, organisations=organisations, databases=databases)
+
+
+@pytest.mark.parametrize(
+    ("digest", "found"),
+    [
+        (keys.digest("first"), "a"),
+        (keys.digest("second"), "a"),
+        (keys.digest("third"), "b"),
+        (keys.digest("shared"), None),
+        (keys.digest("withdrawn"), None),
+        (keys.digest("first")[:-1] + "x", None),
+        (keys.digest("first")[:16], None),
+        ("0" * 64, None),
+        ("", None),
+        ("é" * 64, None),
+    ],
+)
+def test_organisation(digest, found):
+    """Guards against a request that runs for another organisation, or with a digest that only starts alike."""
+    index = keys.Index.from_config(configuration(a=["first", "second", "shared"], b=["third", "shared"]))
+    assert index.organisation(digest) == found
+
+
+def test_withdrawn_key_is_unknown_in_the_next_index():
+    """Guards against an index that outlives its configuration."""
+    assert keys.Index.from_config(configuration(a=["first"])).organisation(keys.digest("first")) == "a"
+    assert keys.Index.from_config(configuration(a=["second"])).organisation(keys.digest("first")) is None
+
+
+@pytest.mark.parametrize(
+    ("organisation", "database", "granted"),
+    [("a", "ledger", True), ("a", "archive", False), ("a", "unknown", False), ("unknown", "ledger", False)],
+)
+def test_grants(organisation, database, granted):
+    """Guards against the use of a service that was not granted."""
+    index = keys.Index.from_config(configuration(a=["first"]))
+    assert index.may_use(organisation, database) is granted
--- /dev/null
+++ b/tests/test_shares.py
@@ -0,0 +1,51 @@
+"""Tests of the share of a domain while the division changes."""
+
+import pytest
+
+from currantlead.admission import bucket, shares
+from currantlead.control import model
+
+MEMBER = model.Member("vm", "a", 1, "")
+VIEWS = {name: model.View(name, 1, (MEMBER,)) for name in "abc"}
+EMPTY = {**VIEWS, "a": model.View("a", 2)}
+CHANGE = model.Shares(2, {"a": 0.2, "b": 0.8}, {"a": 0.5, "b": 0.5})
+
+
+def confirmed(number):
+    """Return the change with a confirmation of domain a."""
+    return model.Shares(2, CHANGE.shares, CHANGE.previous, {"a": number})
+
+
+@pytest.mark.parametrize(
+    ("domain", "division", "views", "wait_s", "rate"),
+    [
+        ("a", CHANGE, VIEWS, 0.0, 2.0),
+        ("b", CHANGE, VIEWS, 99.0, 5.0),
+        ("b", confirmed(1), VIEWS, 99.0, 5.0),
+        ("b", confirmed(2), VIEWS, 0.0, 5.0),
+        ("b", confirmed(2), VIEWS, bucket.OWNER_LIFETIME_S, 8.0),
+        ("b", CHANGE, EMPTY, bucket.OWNER_LIFETIME_S, 8.0),
+        ("b", CHANGE, {}, 99.0, 5.0),
+        ("c", CHANGE, VIEWS, 99.0, 0.0),
+        ("a", model.Shares(1, {"a": 0.5, "b": 0.5}), VIEWS, 0.0, 5.0),
+    ],
+)
+def test_limits(domain, division, views, wait_s, rate):
+    """Guards against two domains that use the same part of a rate at once."""
+    found = shares.Division(domain)
+    found.limits(division, views, 10.0, 10.0, 10.0)
+    limits = found.limits(division, views, 10.0 + wait_s, 10.0, 10.0)
+    assert limits == (pytest.approx(rate), pytest.approx(rate * bucket.TOKEN, abs=1))
+
+
+@pytest.mark.parametrize("division", [{"a": 1 / 3, "b": 1 / 3, "c": 1 / 3}, {"a": 0.1, "b": 0.2, "c": 0.7}, {"a": 1}])
+def test_portions_add_up(division):
+    """Guards against a burst of 10 in thirds that lacks its tenth token, or has an eleventh."""
+    assert sum(shares.portion(division, name, 10) for name in division) == 10 * bucket.TOKEN
+
+
+def test_only_a_falling_domain_confirms():
+    """Guards against confirmations that are not needed, or repeated."""
+    assert shares.Division("a").must_confirm(CHANGE)
+    assert not shares.Division("a").must_confirm(confirmed(2))
+    assert not shares.Division("b").must_confirm(CHANGE)
