Add the operators' command language, executor and console

Cause: operators need to see and change the configuration of a running system without writing it by hand.

Change: a lark grammar gives typed commands, and errors tell line, column and what was expected. Changes are pure functions that check names and suggest near misses; all changes of a text are one change. Queries answer from a Node protocol. The executor makes keys, waits up to 2 s for a change to be in force and names the VMs where it is pending.

--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,225 @@
+"""Tests of the executor, the console and the example files."""
+
+import asyncio
+import hashlib
+import json
+import pathlib
+import sqlite3
+import types
+
+import prompt_toolkit.application
+import prompt_toolkit.input
+import prompt_toolkit.output
+import pytest
+import rich.console
+import typer
+import typer.testing
+from aiohttp import test_utils, web
+
+from currantlead import errors, timers
+from currantlead.control import model
+from currantlead.operators import console, executor, language, queries
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
+DEPLOYMENTS = ["thessaly", "barometros"]
+
+
+class FakeNode:
+    """Hold what two VMs know; ``vm-2`` stays at its number if it is partitioned."""
+
+    def __init__(self):
+        members = {"vm-1": "larisa", "vm-2": "naousa"}
+        self.views = {d: model.View(d, 1, (model.Member(vm, d, 1, ""),)) for vm, d in members.items()}
+        instances = (model.Instance("db-a", "http://a", "larisa"),)
+        groups = {"db": model.Group("db", 1, model.Phase.STABLE, "db-a", instances)}
+        self.directory = types.SimpleNamespace(
+            configuration=model.Configuration(), groups=groups, views=self.views, shares=model.Shares(0)
+        )
+        self.membership = types.SimpleNamespace(alive=lambda vm: True)
+        self.reached = dict.fromkeys(members, 0)
+        self.partitioned = False
+
+    def numbers(self):
+        """Return the numbers of both VMs."""
+        domains = {"vm-1": "larisa", "vm-2": "naousa"}
+        return {vm: queries.VmNumbers(vm, domains[vm], n, 1, 1) for vm, n in self.reached.items()}
+
+    def leases(self):
+        """Return one lease."""
+        return [queries.Lease("vm-1", "larisa", True, 3.2)]
+
+    def rates(self):
+        """Return one ledger."""
+        return [queries.Rate("pelion", "larisa", "vm-1", 3.0, 1.0)]
+
+    def positions(self):
+        """Return one position."""
+        return {"db-a": queries.EndpointPosition("db-a", 1, 7, 0.1)}
+
+    def decisions(self):
+        """Return one decision."""
+        return [queries.Decision("12:00:00", "router", "read to db-a")]
+
+
+class World:
+    """Hold an executor over a fake node and a fake store."""
+
+    def __init__(self):
+        self.node = FakeNode()
+        self.clock = timers.ManualTimers()
+        self.fault = None
+        self.executor = executor.Executor(
+            node=self.node, change=self.change, clock=self.clock, sleep=self.clock.advance
+        )
+
+    async def change(self, mutate, change_id):
+        """Apply a change, twice as after a conflict that a store resolves by itself."""
+        if self.fault:
+            raise self.fault
+        mutate(self.node.directory.configuration)
+        made = mutate(self.node.directory.configuration)
+        number = made.number + 1
+        self.node.directory.configuration = model.Configuration(
+            number, made.domains, made.services, made.databases, made.organisations, made.routes, made.instances
+        )
+        self.node.reached["vm-1"] = number
+        if not self.node.partitioned:
+            self.node.reached["vm-2"] = number
+        return number
+
+
+SETUP = "add service s slots 1 connections 1; add organisation o rate 1 burst 1 services s"
+
+
+async def test_change_reports_where_it_is_in_force():
+    """Guards against a report that hides a partitioned domain, and against a wait that never ends."""
+    world = World()
+    report = await world.executor.run("add domain larisa region greece")
+    assert (report.accepted, report.number, len(report.in_force), report.pending) == (True, 1, 2, ())
+    world.node.partitioned = True
+    start = world.clock.now()
+    report = await world.executor.run("add domain naousa region greece")
+    assert report.pending == ({"vm": "vm-2", "domain": "naousa"},)
+    assert world.clock.now() - start == pytest.approx(2.0, abs=0.1)
+
+
+async def test_file_is_one_change():
+    """Guards against the first half of a file that stays after its second half was refused."""
+    world = World()
+    with pytest.raises(errors.CommandError, match="line 2, column 1"):
+        await world.executor.run("add domain a region b\nadd database d service nothing")
+    assert world.node.directory.configuration == model.Configuration()
+
+
+async def test_made_key_is_shown_once_and_stored_as_digest():
+    """Guards against a secret in the configuration, and against a second key when the change runs again."""
+    world = World()
+    report = await world.executor.run(f"{SETUP}; add key k organisation o")
+    ((name, organisation, secret),) = report.tables[0].rows
+    stored = world.node.directory.configuration.organisations["o"].keys
+    assert (name, organisation) == ("k", "o")
+    assert stored == {"k": hashlib.sha256(secret.encode()).hexdigest()}
+    assert secret not in json.dumps((await world.executor.run("show keys; show organisations")).to_map())
+
+
+async def test_every_topic_gives_rows_that_fit_its_columns():
+    """Guards against a topic that fails or whose rows do not match its columns."""
+    world = World()
+    await world.executor.run(f"{SETUP}; add domain larisa region greece; add database db service s")
+    for topic in queries.TOPICS:
+        (table,) = (await world.executor.run(f"show {topic}")).tables
+        assert all(len(row) == len(table.columns) for row in table.rows), topic
+        assert table.rows or topic in ("keys", "routes"), topic
+
+
+async def serve(world):
+    """Serve the executor as the operator port does."""
+
+    async def handle(request):
+        if request.headers["Authorization"] != "Bearer secret":
+            return web.json_response({"error": "wrong operator key"}, status=401)
+        try:
+            return web.json_response((await world.executor.run((await request.json())["text"])).to_map())
+        except errors.CurrantleadError as error:
+            return web.json_response(executor.error_to_map(error), status=409)
+
+    application = web.Application()
+    application.router.add_post("/operators/commands", handle)
+    server = test_utils.TestServer(application)
+    await server.start_server()
+    return server
+
+
+async def invoke(url, *arguments, key="secret"):
+    """Run the console command in a thread, as it has its own event loop."""
+    application = typer.Typer()
+    application.command()(console.run)
+    environment = {"CURRANTLEAD_OPERATOR_URL": url, "CURRANTLEAD_OPERATOR_KEY": key}
+    return await asyncio.to_thread(typer.testing.CliRunner().invoke, application, list(arguments), env=environment)
+
+
+async def test_console_exit_codes_and_output():
+    """Guards against scripts that cannot tell a refused change from one that is done."""
+    world = World()
+    async with await serve(world) as server:
+        url = str(server.make_url("/"))
+        done = await invoke(url, "add domain larisa region greece; show domains")
+        refused = await invoke(url, "drain domain lari")
+        wrong = await invoke(url, "drain dmoain larisa")
+        as_json = await invoke(url, "--json", "show domains")
+        denied = await invoke(url, "show domains", key="other")
+        both = await invoke(url, "show domains", "-f", str(EXAMPLES / "thessaly.commands"))
+        world.fault = errors.VersionConflictError("configuration is at number 9")
+        raced = await invoke(url, "drain domain larisa")
+    unreachable = await invoke(url, "show domains")
+    codes = [answer.exit_code for answer in (done, refused, wrong, as_json, denied, both, raced, unreachable)]
+    assert codes == [0, 1, 2, 0, 1, 2, 1, 1], [done.output, refused.output, unreachable.output]
+    assert "accepted as configuration 1, in force on 2 VM(s)" in done.output and "greece" in done.output
+    assert "did you mean 'larisa'?" in refused.output
+    assert "number 9" in raced.output
+    assert json.loads(as_json.output)["rows"] == [["larisa", "greece", "in_service", 1]]
+
+
+def test_prompt_sends_each_line():
+    """Guards against a prompt that ends at the first wrong command."""
+    sent = []
+
+    def send(text):
+        sent.append(text)
+        return {"columns": [], "rows": [], "tables": []}
+
+    with prompt_toolkit.input.create_pipe_input() as keys:
+        keys.send_text("show domains\rshow nothing\rshow vms\rexit\r")
+        output = prompt_toolkit.output.DummyOutput()
+        with prompt_toolkit.application.create_app_session(input=keys, output=output):
+            code = console.interact(send, rich.console.Console(quiet=True), as_json=False, history_file=None)
+    assert (sent, code) == (["show domains", "show vms"], 0)
+
+
+@pytest.mark.parametrize("deployment", DEPLOYMENTS)
+async def test_example_applies_cleanly(deployment):
+    """Guards against example files that the current language or its checks refuse."""
+    world = World()
+    await world.executor.run((EXAMPLES / f"{deployment}.commands").read_text())
+    made = world.node.directory.configuration
+    sizes = [len(part) for part in (made.domains, made.services, made.databases, made.organisations, made.routes)]
+    assert sizes == [3, 3, 3, 10, 1]
+    assert min(o.rate for o in made.organisations.values()) == 5
+    assert sum(o.rate >= 150 for o in made.organisations.values()) == 3
+
+
+@pytest.mark.parametrize("deployment", DEPLOYMENTS)
+def test_workload_runs_on_a_database(deployment):
+    """Guards against workload statements with faulty SQL, wrong parameters or wrong marks."""
+    workload = json.loads((EXAMPLES / f"workload-{deployment}.json").read_text())
+    commands = language.parse((EXAMPLES / f"{deployment}.commands").read_text())
+    databases = {c.names[0]: sqlite3.connect(":memory:") for c in commands if c.kind == "add database"}
+    for statement in workload["schema"]:
+        databases[statement["database"]].execute(statement["sql"])
+    for statement in workload["statements"]:
+        assert set(statement["params"]) <= set(workload["generators"]), statement["name"]
+        connection = databases[statement["database"]]
+        connection.execute(f"PRAGMA query_only = {int(statement['access'] == 'read')}")
+        connection.execute(statement["sql"], [1] * len(statement["params"]))
+    for route in (command for command in commands if command.kind == "add route"):
+        databases[route.names[1]].execute(route.options["sql"])
