Run operators' commands on a VM and gather numbers of all domains

Cause: the command language had no node to run on, and a VM hears heartbeats only of its own domain.

Change: operators/node.py adapts the parts of the daemon and asks one VM of each other domain for the numbers of its domain while a command runs; recent decisions are kept for "show decisions"; a refused change keeps line and column.

--- a/src/currantlead/admission/service.py
+++ b/src/currantlead/admission/service.py
@@ -104,6 +104,11 @@
                 self._settle(state, leaving)
             self._tell(state, idle_s=0.0)
 
+    def ledgers(self) -> list[tuple[str, float, float]]:
+        """Return organisation, level and outstanding tokens of each ledger that this VM keeps."""
+        accounts = ((state.name, state.account.ledger) for state in self._states.values())
+        return [(name, ledger.level, ledger.outstanding) for name, ledger in accounts if ledger is not None]
+
     async def admit(self, organisation: str) -> verdict.Refusal | None:
         """Take one token; return a refusal if the organisation is over its rate."""
         if organisation not in self._directory.configuration.organisations:
--- a/src/currantlead/border/server.py
+++ b/src/currantlead/border/server.py
@@ -263,6 +263,8 @@
             return "400 Bad Request", {"error": str(error), "line": error.line, "column": error.column}
         except errors.VersionConflictError as error:
             return "409 Conflict", {"error": str(error)}
+        except errors.PlatformUnavailableError as error:
+            return "503 Service Unavailable", {"error": str(error)}
         except Exception as error:
             _log.opt(exception=error).error("command failed")
             return "500 Internal Server Error", {"error": f"command failed: {type(error).__name__}"}
--- a/src/currantlead/control/members.py
+++ b/src/currantlead/control/members.py
@@ -65,6 +65,10 @@
         """Tell whether this VM's lease holds now; call it in the same step as the use."""
         return self._standing.valid(self._clock.now())
 
+    def lease_left_s(self) -> float:
+        """Return the seconds that this VM's lease still holds; 0 if it does not."""
+        return max(0.0, self._lease.expires - self._clock.now())
+
     def owns(self, organisation: str) -> bool:
         """Tell whether this VM is the active rate owner of the organisation in its own domain, lease included."""
         return self._standing.owns(organisation, self._clock.now())
--- a/src/currantlead/control/store.py
+++ b/src/currantlead/control/store.py
@@ -31,9 +31,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refused:
-    """Report that the change or the stored configuration is not valid; nothing was stored."""
+    """Report that the change or the stored configuration is not valid; nothing was stored.
+
+    Attributes:
+        detail: One sentence for the operator.
+        error: The error that the change raised, or None.
+    """
 
     detail: str
+    error: errors.CurrantleadError | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -202,7 +208,7 @@
         except errors.CurrantleadError as error:
             if attempt.accepted:
                 return result.Err(Conflict(current.number, f"refused after another change: {error}"))
-            return result.Err(Refused(str(error)))
+            return result.Err(Refused(str(error), error))
         attempt.accepted = True
         if new == old and attempt.unsure is None:
             return result.Ok(current.number)
--- a/src/currantlead/daemon.py
+++ b/src/currantlead/daemon.py
@@ -26,11 +26,12 @@
     platform,
     records,
     relay,
+    store,
 )
 from currantlead.identity import keys
 from currantlead.operators import node
 from currantlead.peers import network
-from currantlead.routing import dispatch, placement, proxy
+from currantlead.routing import dispatch, freshness, placement, proxy
 
 _log = logs.part("daemon")
 
@@ -38,6 +39,7 @@
 """Requests are still accepted for this long after health answers leaving: balancers poll it about every 0.5 s."""
 RELEASE_POLL_S = 0.02
 STATE_CHECK_S = 0.25
+COMMAND_TIMEOUT_S = 14.0
 STATUS_CALLS = 64
 """Status questions to instances under way at once."""
 
@@ -110,6 +112,7 @@
             rank=placement.rank,
             on_group=self._learn_group,
         )
+        self.positions = freshness.Freshness()
         dispatcher = dispatch.Dispatcher(
             membership=self.members, peers=self.network, holder=self.holder, directory=self.directory
         )
@@ -117,6 +120,7 @@
             directory=self.directory,
             gate=self.gate,
             dispatcher=dispatcher,
+            positions=self.positions,
             domain=checked.domain,
             clock=self.timers.now,
             request_timeout_s=checked.request_timeout,
@@ -124,14 +128,25 @@
             configuration_age=self._configuration_age,
         )
         run = server.run_on(asyncio.get_running_loop())
-        self.node = node.Node(self, run)
+        self.store = store.Store(self.platform, self.timers.now, cache=self.directory)
+        self.node = node.Node(
+            node.Parts(
+                directory=self.directory,
+                members=self.members,
+                gate=self.gate,
+                positions=self.positions,
+                peers=self.network,
+                store=self.store,
+                clock=self.timers,
+            )
+        )
         self.border = server.Border(
             self.proxy,
             run,
             address=settings.split_address(checked.listen),
             operator_address=settings.split_address(checked.operator_listen),
             operator_key_digest=keys.digest(checked.operator_key),
-            command=self.node.command,
+            command=node.run_on_loop(self.node, run, COMMAND_TIMEOUT_S),
             threads=checked.threads,
             request_timeout_s=checked.request_timeout + 1.0,
             metrics=server.Metrics(prometheus_client.REGISTRY),
--- a/src/currantlead/routing/freshness.py
+++ b/src/currantlead/routing/freshness.py
@@ -14,6 +14,7 @@
 @dataclasses.dataclass(slots=True)
 class _Sighting:
     position: messages.Position
+    seen_at: float
     behind_at: float | None = None
 
 
@@ -23,18 +24,17 @@
     def __init__(self) -> None:
         self._sightings: dict[str, _Sighting] = {}
 
-    def record_applied(self, instance: str, position: messages.Position) -> None:
+    def record_applied(self, instance: str, position: messages.Position, now: float) -> None:
         """Note that an instance answered a read or write at a position.
 
         Args:
             instance: Name of the instance.
             position: Position that it had applied.
+            now: Clock reading in seconds.
         """
         known = self._sightings.get(instance)
-        if known is None or position > known.position:
-            self._sightings[instance] = _Sighting(position)
-        elif known.behind_at is not None:
-            known.behind_at = None
+        newest = position if known is None else max(known.position, position)
+        self._sightings[instance] = _Sighting(newest, now)
 
     def record_behind(self, instance: str, position: messages.Position, now: float) -> None:
         """Note that an instance refused a read because it had only reached a position.
@@ -46,7 +46,11 @@
         """
         known = self._sightings.get(instance)
         newest = position if known is None else max(known.position, position)
-        self._sightings[instance] = _Sighting(newest, behind_at=now)
+        self._sightings[instance] = _Sighting(newest, now, behind_at=now)
+
+    def known(self) -> list[tuple[str, messages.Position, float]]:
+        """Return instance, newest position and the clock reading of its last sighting."""
+        return [(name, seen.position, seen.seen_at) for name, seen in self._sightings.items()]
 
     def may_serve(self, instance: str, after: messages.Position | None, now: float) -> bool:
         """Tell whether a read after a position is worth sending to an instance.
--- a/src/currantlead/routing/proxy.py
+++ b/src/currantlead/routing/proxy.py
@@ -34,6 +34,7 @@
         directory: interfaces.Directory,
         gate: interfaces.Gate,
         dispatcher: dispatch.Dispatcher,
+        positions: freshness.Freshness,
         domain: str,
         clock: Callable[[], float],
         request_timeout_s: float,
@@ -46,6 +47,7 @@
             directory: Shared state known at this VM.
             gate: Admission within the organisations' rates.
             dispatcher: Sends work to a holder.
+            positions: Estimate of the positions of the instances.
             domain: Failure domain of this VM.
             clock: Monotonic clock in seconds.
             request_timeout_s: Longest time for one request.
@@ -55,8 +57,8 @@
         self._directory = directory
         self._gate = gate
         self._dispatcher = dispatcher
-        self._positions = freshness.Freshness()
-        self._router = router.Router(domain=domain, positions=self._positions)
+        self._positions = positions
+        self._router = router.Router(domain=domain, positions=positions)
         self._clock = clock
         self._request_timeout_s = request_timeout_s
         self._max_configuration_age_s = max_configuration_age_s
@@ -218,7 +220,7 @@
     def _learn(self, statement: messages.Statement, target: router.Target, outcome: interfaces.Outcome) -> None:
         if isinstance(outcome, result.Ok):
             if outcome.ok_value.position is not None:
-                self._positions.record_applied(target.instance, outcome.ok_value.position)
+                self._positions.record_applied(target.instance, outcome.ok_value.position, self._clock())
             if not statement.write:
                 metrics.READS.labels(target.role.value).inc()
         elif outcome.err_value.reason is verdict.Reason.BEHIND:
--- a/tests/test_holder.py
+++ b/tests/test_holder.py
@@ -297,6 +297,6 @@
     """A dead instance costs a request a moment, not its whole time, so that the proxy can wait for a promotion."""
     await cluster.instances["ledger-b"].stop()
     started = asyncio.get_running_loop().time()
-    refused = await cluster.holder.execute(work(instance="ledger-b", timeout_s=10.0))
-    assert reason_of(refused) == (Reason.UNREACHABLE, NOT_RUN)
+    refused = await cluster.holder.execute(calls.work(instance="ledger-b", timeout_s=10.0))
+    assert calls.reason_of(refused) == (Reason.UNREACHABLE, NOT_RUN)
     assert asyncio.get_running_loop().time() - started < 1.0
