Refuse waiting requests if fetching tokens fails; test the service's faults

Cause: an unexpected error while fetching tokens left requests waiting for ever, which a fake without a handler showed.

Change: such requests are refused as not run.

--- a/src/currantlead/admission/service.py
+++ b/src/currantlead/admission/service.py
@@ -150,7 +150,7 @@
 
     def _start_pump(self, state: _State) -> None:
         if state.pump is None or state.pump.done():
-            state.pump = self._spawn(self._pump(state))
+            state.pump = self._spawn(self._guard(state))
 
     def _ask_ahead(self, state: _State) -> None:
         if self._owner.ledger(state.account) is None and state.cache.is_low(
@@ -158,6 +158,16 @@
         ):
             self._start_pump(state)
 
+    async def _guard(self, state: _State) -> None:
+        """Refuse the waiting requests if fetching fails unexpectedly; none of them has run."""
+        try:
+            await self._pump(state)
+        except Exception as error:
+            _log.opt(exception=error).error("fetching tokens of {} failed", state.name)
+            refusal = verdict.Refusal(verdict.Reason.INTERNAL, detail="fetching tokens failed", retry_after_s=1.0)
+            while state.waiting:
+                self._settle(state, refusal)
+
     async def _pump(self, state: _State) -> None:
         """Fetch tokens until no request waits; all that wait share one message."""
         while True:
--- a/tests/rates.py
+++ b/tests/rates.py
@@ -149,6 +149,8 @@
         if {vm, self.member.vm} & self._network.cut:
             await asyncio.sleep(timeout_s)
             raise errors.PeerAnswerLostError("cut")
+        if vm not in self._network.handlers:
+            raise errors.PeerUnreachableError("unknown VM")
         await asyncio.sleep(self._network.delay(self.member.vm, vm))
         reply = await self._network.handlers[vm](self.member.vm, body)
         await asyncio.sleep(self._network.delay(vm, self.member.vm))
