Test leases and roles; let a domain without live members restart

Cause: the pure lease and roles had no tests of their own, three rules of the removal were never needed in random runs, and a domain whose VMs all died could not change its view.

Change: unit tests of lease and roles; fixed scenarios beside the state machine; restarted VMs take over a view of dead members and find each other in the platform's list, because the view holds the old addresses.

--- a/src/currantlead/control/changes.py
+++ b/src/currantlead/control/changes.py
@@ -284,10 +284,13 @@
     async def _take_over(self, view: model.View) -> bool:
         """Remove members of a view of which none is left, such as after a loss of power in the whole domain."""
         silent = [lease.identify(member) for member in view.members]
-        if view is not self._host.roles.view or any(
-            self._host.silent_s(holder) < self._silent_after_s for holder in silent
-        ):
+        known = self._host.roles.view
+        if known is None or known.number != view.number:
             return False
+        if any(self._host.silent_s(holder) < self._silent_after_s for holder in silent):
+            return False
+        # The view holds the addresses of the old processes; VMs that were replaced are found in the platform's list.
+        self._peers.learn(await self._store.listed())
         removable = await self._remove(view, silent)
         return await self._write(views.without(view, removable[0])) if removable else False
 
--- a/src/currantlead/control/views.py
+++ b/src/currantlead/control/views.py
@@ -96,6 +96,11 @@
         stored = await self._platform.read(KIND, self._domain)
         return None if stored is None else from_value(stored.value, stored.version)
 
+    async def listed(self) -> list[model.Member]:
+        """Return the VMs of the domain in the platform's lagging list, without their incarnations."""
+        listed = await self._platform.list_vms()
+        return [model.Member(vm.vm, vm.domain, 0, vm.peer_address) for vm in listed if vm.domain == self._domain]
+
     async def write(self, view: model.View) -> model.View | None:
         """Replace the version that a view carries by the view.
 
--- /dev/null
+++ b/tests/test_lease.py
@@ -0,0 +1,109 @@
+"""Tests of the pure lease: holder, witness and remover."""
+
+import pytest
+
+from currantlead.control import lease, model
+
+
+def _member(vm, incarnation=1, domain="larisa"):
+    return model.Member(vm, domain, incarnation, f"{vm}:1")
+
+
+def _view(names, number=1, witness=None):
+    return model.View("larisa", number, tuple(_member(name) for name in names), witness)
+
+
+def _identity(vm, incarnation=1):
+    return lease.Identity(vm, incarnation)
+
+
+@pytest.mark.parametrize(
+    "names, witness, acknowledged, held",
+    [
+        ("a", None, "a", True),
+        ("ab", None, "a", False),
+        ("ab", "w", "a", False),
+        ("ab", "w", "aw", True),
+        ("ab", "w", "ab", True),
+        ("abc", None, "ab", True),
+        ("abcd", "w", "ab", False),
+        ("abcd", "w", "abw", True),
+        ("abc", None, "axyz", False),
+        ("", None, "a", False),
+    ],
+)
+def test_majority_of_voters(names, witness, acknowledged, held):
+    """Guards against a lease held by less than a majority, or by VMs outside the view."""
+    holder = lease.Lease()
+    holder.adopt(_view(names, witness=_member(witness) if witness else None))
+    for name in acknowledged:
+        holder.acknowledge(_identity(name), 10.0, 10.5)
+    assert holder.valid(13.9) is held
+    assert not holder.valid(14.0)
+
+
+def test_old_incarnation_does_not_count():
+    """Guards against acknowledgements of a restarted witness, which forgot its promises."""
+    holder = lease.Lease()
+    holder.adopt(_view("abc"))
+    holder.acknowledge(_identity("a"), 10.0, 10.0)
+    holder.acknowledge(_identity("b", 2), 10.0, 10.0)
+    assert not holder.valid(10.0)
+
+
+def test_epoch_changes_only_after_a_gap():
+    """Guards against roles that resume after a lapse as if nothing had happened, or that stop at each renewal."""
+    holder = lease.Lease()
+    holder.adopt(_view("a"))
+    for sent in (10.0, 11.0, 14.9):
+        holder.acknowledge(_identity("a"), sent, sent)
+    assert holder.epoch == 1
+    holder.acknowledge(_identity("a"), 30.0, 30.0)
+    assert holder.epoch == 2
+
+
+def test_witness_acknowledges_only_its_own_view():
+    """Guards against a holder that missed view changes and keeps a lease on old views."""
+    witness = lease.Witness(0.0)
+    witness.adopt(_view("abc", 5), 10.0)
+    assert [witness.acknowledge(_identity("a"), "larisa", number, 11.0) for number in (4, 5, 6)] == [False, True, False]
+
+
+def test_suspension_lasts_until_the_next_view():
+    """Guards against an acknowledgement between a promise and a late execution of the removal."""
+    witness = lease.Witness(0.0)
+    witness.adopt(_view("abc", 5), 10.0)
+    witness.acknowledge(_identity("a"), "larisa", 5, 20.0)
+    assert witness.suspend(_identity("a"), "larisa", 4, 21.0) is None
+    promise = witness.suspend(_identity("a"), "larisa", 5, 21.0)
+    assert promise.left_s == pytest.approx(3.12)
+    assert promise.older_s == 0.0
+    assert not witness.acknowledge(_identity("a"), "larisa", 5, 1000.0)
+    witness.adopt(_view("abc", 6), 1000.0)
+    assert witness.acknowledge(_identity("a"), "larisa", 6, 1000.0)
+
+
+def test_restarted_witness_reports_one_lease():
+    """Guards against a removal before acknowledgements of the witness's last process have expired."""
+    witness = lease.Witness(20.0)
+    witness.adopt(_view("abc", 5), 20.5)
+    promise = witness.suspend(_identity("a"), "larisa", 5, 21.0)
+    assert promise.left_s == pytest.approx(3.12)
+    assert promise.older_s == pytest.approx(3.62)
+
+
+def test_several_silent_members_need_one_wait():
+    """Guards against a removal of a rack that waits one lease for each VM."""
+    removal = lease.Removal()
+    view, silent = _view("abcde", 5), [_identity("d"), _identity("e")]
+    removal.begin(view, silent)
+    for holder in silent:
+        for name in "abc":
+            removal.promised(holder, name, lease.Promise(2.0, 0.0), 10.0)
+    assert removal.removable(12.05) == []
+    assert removal.removable(12.07) == silent
+    removal.begin(_view("abce", 6), silent[1:])
+    assert removal.removable(13.0) == []
+    for name in "abc":
+        removal.promised(silent[1], name, lease.Promise(0.0, 4.12), 13.0)
+    assert removal.removable(13.0) == silent[1:]
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -75,3 +75,67 @@
         vm.network.cut([])
     await fakes.until(lambda: all(len(vm.members.view.members) == 3 and vm.members.settled for vm in vms), 10)
     await _stop(vms)
+
+
+async def test_lost_answers_of_the_store_are_recognised():
+    """Guards against a VM that takes its own stored view change for another VM's."""
+    platform = fakes.FakePlatform()
+    platform.lose_next = 3
+    vms = await _start(platform, ["vm1", "vm2", "vm3"])
+    await fakes.until(lambda: all(vm.members.settled for vm in vms))
+    assert platform.writes == 3
+    await _stop(vms)
+
+
+async def test_leases_continue_while_the_store_is_down():
+    """Guards against leases that need the store."""
+    platform = fakes.FakePlatform()
+    vms = await _start(platform, ["vm1", "vm2", "vm3"], lease_s=0.8, heartbeat_s=0.2)
+    await fakes.until(lambda: all(vm.members.settled for vm in vms))
+    platform.outage = True
+    for _ in range(40):
+        await asyncio.sleep(0.05)
+        assert all(vm.members.lease_valid() for vm in vms)
+    await _stop(vms)
+
+
+async def test_domain_of_two_survives_one_death_with_an_outside_witness():
+    """Guards against a domain of two that stops with one VM; also against a witness of a lone VM that stays."""
+    platform = fakes.FakePlatform()
+    first, second = await _start(platform, ["vm1", "vm2"])
+    (outside,) = await _start(platform, ["vm9"], "naousa")
+    await fakes.until(lambda: all(vm.members.settled for vm in (first, second, outside)))
+    for vm in (first, second, outside):
+        vm.directory.put(outside.members.view)
+    await fakes.until(lambda: all(vm.members.view.witness is not None for vm in (first, second)), 6)
+    await fakes.until(lambda: first.members.settled and second.members.settled)
+    await second.stop(leave=False)
+    await fakes.until(lambda: len(first.members.view.members) == 1 and first.members.settled, 10)
+    assert first.members.holds("db1-1", "larisa") == 1.0
+    await fakes.until(lambda: first.members.view.witness is None and first.members.settled, 5)
+    assert first.members.owner("org1", "naousa") == "vm9"
+    await _stop([first, outside])
+
+
+async def test_killed_vm_restarts_under_its_name():
+    """Guards against a restart that waits for its own old incarnation to be removed for ever."""
+    platform = fakes.FakePlatform()
+    vms = await _start(platform, ["vm1", "vm2", "vm3"], lease_s=1.0, heartbeat_s=0.25)
+    await fakes.until(lambda: all(vm.members.settled for vm in vms))
+    await vms[2].stop(leave=False)
+    vms[2] = await fakes.start_vm("vm3", "larisa", platform, lease_s=1.0, heartbeat_s=0.25)
+    await fakes.until(lambda: all(vm.members.settled and vm.members.view.member("vm3") for vm in vms), 8)
+    assert vms[0].members.view.member("vm3") == vms[2].network.member
+    await _stop(vms)
+
+
+async def test_whole_domain_restarts():
+    """Guards against a view whose members are all gone and that nobody may change."""
+    platform = fakes.FakePlatform()
+    options = {"lease_s": 0.8, "heartbeat_s": 0.2}
+    vms = await _start(platform, ["vm1", "vm2", "vm3"], **options)
+    await fakes.until(lambda: all(vm.members.settled for vm in vms))
+    await _stop(vms)
+    vms = await _start(platform, ["vm1", "vm2", "vm3"], **options)
+    await fakes.until(lambda: all(vm.members.settled for vm in vms), 15)
+    await _stop(vms)
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,89 @@
+"""Tests of roles that follow from views."""
+
+from currantlead.control import lease, membership, model
+
+ORGANISATIONS = [f"org{number}" for number in range(40)]
+
+
+def _view(names, number):
+    return model.View("larisa", number, tuple(model.Member(name, "larisa", 1, f"{name}:1") for name in names))
+
+
+def _roles(vm, view):
+    roles = membership.Roles(lease.Identity(vm, 1), "larisa")
+    roles.adopt(view)
+    roles.report_adopted(10.0, 1)
+    for member in view.members:
+        roles.report(lease.identify(member), view.number, 10.0, 1)
+    return roles
+
+
+def _owned(roles):
+    return {name for name in ORGANISATIONS if roles.owns(name, 1)}
+
+
+def test_gained_roles_wait_for_all_members():
+    """Guards against two owners while one member has not yet released what it lost."""
+    roles = _roles("a", _view("abc", 1))
+    before = _owned(roles)
+    roles.adopt(_view("ab", 2))
+    roles.report_adopted(20.0, 1)
+    assert _owned(roles) == before, "kept roles have no gap"
+    roles.report(lease.Identity("b", 1), 1, 20.0, 1)
+    roles.report(lease.Identity("b", 2), 2, 20.0, 1)
+    roles.report(lease.Identity("b", 1), 3, 20.0, 1)
+    assert _owned(roles) == before, "old views, later views and other incarnations do not count"
+    other = _roles("b", _view("abc", 1))
+    other.adopt(_view("ab", 2))
+    other.report_adopted(20.0, 1)
+    other.report(lease.Identity("a", 1), 2, 20.0, 1)
+    placed = membership.Placed(_view("ab", 2))
+    assert _owned(other) == {name for name in ORGANISATIONS if placed.owner(name) == "b"}
+
+
+def test_lost_roles_stop_at_adoption():
+    """Guards against a role used after its loss, before the release callbacks have ended."""
+    roles = _roles("a", _view("a", 1))
+    assert _owned(roles) == set(ORGANISATIONS)
+    assert roles.share("db1-1", 1) == 1.0
+    roles.adopt(_view("ab", 2))
+    placed = membership.Placed(_view("ab", 2))
+    assert _owned(roles) == {name for name in ORGANISATIONS if placed.owner(name) == "a"}
+    assert roles.share("db1-1", 1) == 0.5
+    assert roles.reported == 1
+
+
+def test_owned_since_survives_kept_roles_and_resets():
+    """Guards against a ledger that starts anew at each view change, or that goes on after a loss of ownership."""
+    roles = _roles("a", _view("ab", 1))
+    kept = next(name for name in ORGANISATIONS if membership.Placed(_view("abc", 2)).owner(name) == "a")
+    lost = next(name for name in _owned(roles) if membership.Placed(_view("abc", 2)).owner(name) == "c")
+    assert roles.owned_since(kept, 1) == roles.owned_since(lost, 1) == 10.0
+    for number, names in ((2, "abc"), (3, "ab")):
+        view = _view(names, number)
+        roles.adopt(view)
+        roles.report_adopted(10.0 * number, 1)
+        for member in view.members:
+            roles.report(lease.identify(member), number, 10.0 * number, 1)
+    assert roles.owned_since(kept, 1) == 10.0
+    assert roles.owned_since(lost, 1) == 30.0
+
+
+def test_new_epoch_and_leaving_stop_all_roles():
+    """Guards against roles of an earlier lease, and against a leaving VM that takes roles again."""
+    roles = _roles("a", _view("a", 1))
+    assert not roles.owns("org1", 2) and roles.share("db1-1", 2) == 0.0
+    roles.settle(20.0, 2)
+    assert roles.owns("org1", 2)
+    roles.leave()
+    roles.report_adopted(30.0, 2)
+    assert not roles.owns("org1", 2)
+
+
+def test_view_without_this_incarnation_gives_no_roles():
+    """Guards against a restarted VM that uses the roles of its earlier process."""
+    roles = membership.Roles(lease.Identity("a", 2), "larisa")
+    change = roles.adopt(_view("a", 1))
+    roles.report_adopted(10.0, 1)
+    assert not change.member
+    assert _owned(roles) == set()
--- a/tools/heartbeat_cost.py
+++ b/tools/heartbeat_cost.py
@@ -44,8 +44,10 @@
         """Ignore the subscriber."""
 
 
-def _make(peers: network.Network, view: model.View, clock: timers.TimerService) -> members.Members:
-    vm = members.Members(peers, _NoPlatform(view), _NoDirectory(), clock)
+def _make(
+    peers: network.Network, view: model.View, clock: timers.TimerService, interval_s: float = members.HEARTBEAT_S
+) -> members.Members:
+    vm = members.Members(peers, _NoPlatform(view), _NoDirectory(), clock, heartbeat_s=interval_s)
     for name, value in (("c", 123456), ("h", 77), ("l", False)):
         vm.add_number(name, lambda value=value: value)
     return vm
@@ -70,7 +72,9 @@
         clock.start()
         for peers in networks:
             view = model.View("larisa", 1, (measured, peers.member), None, 1)
-            vm = _make(peers, view, clock)
+            # The peers' own views are small; they take the interval of the measured VM's view.
+            large = count > members.LARGE_VIEW
+            vm = _make(peers, view, clock, members.LARGE_VIEW_HEARTBEAT_S if large else members.HEARTBEAT_S)
             await vm.start()
             vm.adopt(view)
         await asyncio.sleep(seconds)
