Test the end of an abandoned removal

Cause: a witness keeps its promise to suspend a VM until the next view; the step that ends this after the remover died had no test.

Change: a test in which one witness suspends a member and nobody removes it.

--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from currantlead.control import lease
 from tests import fakes_membership as fakes
 
 
@@ -139,3 +140,15 @@
     vms = await _start(platform, ["vm1", "vm2", "vm3"], **options)
     await fakes.until(lambda: all(vm.members.settled for vm in vms), 15)
     await _stop(vms)
+
+
+async def test_abandoned_removal_ends():
+    """Guards against a VM that one witness never acknowledges again, because its remover died."""
+    platform = fakes.FakePlatform()
+    vms = await _start(platform, ["vm1", "vm2", "vm3"])
+    await fakes.until(lambda: all(vm.members.settled for vm in vms))
+    number = vms[0].members.view.number
+    vms[1].members.promise("larisa", number, [lease.identify(vms[0].network.member)])
+    await fakes.until(lambda: all(vm.members.view.number == number + 1 and vm.members.settled for vm in vms), 8)
+    assert len(vms[0].members.view.members) == 3
+    await _stop(vms)
