--- a/src/currantlead/control/changes.py
+++ b/src/currantlead/control/changes.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import random
 from typing import Any, Protocol
 
@@ -163,7 +162,8 @@
             if view.member(member.vm) != member:
                 return views.with_member(view, member)
             del self._joins[identity]
-            done.cancelled() or done.set_result(None)
+            if not done.done():
+                done.set_result(None)
         quiet = self._clock.now() - self._changed_at
         if self._host.suspended_by_peer() and quiet > ABANDONED_REMOVAL_S:
             return views.renumbered(view)
@@ -284,10 +284,13 @@
     async def _take_over(self, view: model.View) -> bool:
         """Remove members of a view of which none is left, such as after a loss of power in the whole domain."""
         silent = [lease.identify(member) for member in view.members]
-        if view is not self._host.roles.view or any(
-            self._host.silent_s(holder) < self._silent_after_s for holder in silent
-        ):
+        known = self._host.roles.view
+        if known is None or known.number != view.number:
             return False
+        if any(self._host.silent_s(holder) < self._silent_after_s for holder in silent):
+            return False
+        # The view holds the addresses of the old processes; VMs that were replaced are found in the platform's list.
+        self._peers.learn(await self._store.listed())
         removable = await self._remove(view, silent)
         return await self._write(views.without(view, removable[0])) if removable else False
 
@@ -299,7 +302,7 @@
                 await self._wait_committed(view)
                 continue
             try:
-                await self._write(dataclasses.replace(views.without(view, me)))
+                await self._write(views.without(view, me))
             except errors.PlatformUnavailableError as error:
                 _log.warning("cannot leave the view yet: {}", error)
                 await asyncio.sleep(STORE_BACKOFF_S * random.random())
