Let the promotion machine race coordinators and cut instances off

Change: a coordinator may lose all messages to some instances while it runs on, and two coordinators may take turns from the same record.

--- a/tests/test_promotion_machine.py
+++ b/tests/test_promotion_machine.py
@@ -45,15 +45,28 @@
         answers = self._carry_out(steps, action, fate)
         self.pending[who] += [(steps, answer) for answer in answers]
 
-    @stateful.rule(who=COORDINATORS, length=st.sampled_from([2, 4, 12, 12]))
-    def run_on(self, who, length):
-        """A coordinator starts if it is idle and runs undisturbed, so that many promotions come to their end."""
+    @stateful.rule(who=COORDINATORS, length=st.sampled_from([2, 4, 12, 12]), cut=st.sets(INSTANCES, max_size=2))
+    def run_on(self, who, length, cut):
+        """A coordinator starts if it is idle and runs on; messages to the instances in ``cut`` are lost."""
         self.begin(who, None)
         for _ in range(length):
+            if not self.pending[who]:
+                self.wait(who, 0.3)
             if self.pending[who]:
-                self.act(who, 0, "arrives")
+                lost = getattr(self.pending[who][0][1], "instance", None) in cut
+                self.act(who, 0, "lost" if lost else "arrives")
                 self.cluster.check()
 
+    @stateful.rule(
+        pair=st.permutations([0, 1, 2]), turns=st.lists(st.integers(0, 1), min_size=4, max_size=16), cut=INSTANCES
+    )
+    def race(self, pair, turns, cut):
+        """Two coordinators start from the same record and take turns; one of them cannot reach one instance."""
+        self.begin(pair[0], None)
+        self.begin(pair[1], None)
+        for turn in turns:
+            self.run_on(pair[turn], 2, {cut} if turn else set())
+
     @stateful.rule(who=COORDINATORS, forget=st.booleans())
     def crash(self, who, forget):
         """A coordinator dies; messages that it sent may still arrive."""
@@ -138,7 +151,7 @@
 
 TestPromotionMachine = PromotionMachine.TestCase
 TestPromotionMachine.settings = hypothesis.settings(
-    stateful_step_count=40, max_examples=max(300, hypothesis.settings.default.max_examples)
+    stateful_step_count=25, max_examples=max(300, hypothesis.settings.default.max_examples)
 )
 
 
@@ -158,7 +171,7 @@
     """Guards against a machine that passes because its schedules never reach a fault."""
     BROKEN_RULES[rule](monkeypatch)
     settings = hypothesis.settings(
-        stateful_step_count=40,
+        stateful_step_count=25,
         max_examples=3000,
         derandomize=True,
         phases=[hypothesis.Phase.generate],
