Keep the loop free when a timer's callback is slow

Cause: a callback that took longer than its interval was due again at once, so the timer task never yielded; a slow log line was enough. Change: a missed call is scheduled one interval after now. Result: the new test did not end within 100 s before (stopped by hand) and passes in under 1 s after.

--- a/src/currantlead/timers.py
+++ b/src/currantlead/timers.py
@@ -71,8 +71,10 @@
             return None
         _, _, subscription = heapq.heappop(self._heap)
         if subscription.interval_s is not None:
-            # Skips missed calls: after a pause of the process one call is enough.
-            self.add(max(due + subscription.interval_s, now), subscription)
+            # Skips missed calls: after a pause of the process one call is enough. The next call lies after ``now``, or
+            # a callback that takes longer than its interval would keep the loop from everything else.
+            following = due + subscription.interval_s
+            self.add(following if following > now else now + subscription.interval_s, subscription)
         return subscription
 
 
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -1,6 +1,7 @@
 """Tests of the timer service."""
 
 import asyncio
+import time
 
 from currantlead import timers
 
@@ -38,3 +39,17 @@
     subscription.cancel()
     await clock.advance(5.0)
     assert calls == []
+
+
+async def test_slow_callback_leaves_time_for_other_tasks():
+    """A callback that takes longer than its interval does not keep the loop from other tasks."""
+    service = timers.TimerService()
+    service.start()
+    service.subscribe("slow", 0.001, lambda: time.sleep(0.005))
+    turns = 0
+    end = asyncio.get_running_loop().time() + 0.2
+    while asyncio.get_running_loop().time() < end:
+        await asyncio.sleep(0)
+        turns += 1
+    await service.stop()
+    assert turns > 10
