--- a/src/currantlead/control/division.py
+++ b/src/currantlead/control/division.py
@@ -4,8 +4,7 @@
 
 from currantlead import errors, interfaces, logs, timers
 from currantlead.admission import shares as division
-from currantlead.control import drain, model, records
-from currantlead.routing import placement
+from currantlead.control import drain, duties, model, records
 
 CHECK_S = 0.5
 STEADY_S = 3.0
@@ -97,7 +96,7 @@
     async def check(self) -> None:
         """Write the next division if this VM is the one to do it and the wanted division is steady."""
         views = self._directory.views
-        if not self._is_first(views):
+        if not duties.is_assigned("division", views, self._member.vm):
             return
         current = self._directory.shares
         target = wanted(self._directory.configuration, views)
@@ -109,10 +108,6 @@
         if following is not None:
             await self._write(following)
 
-    def _is_first(self, views: Mapping[str, model.View]) -> bool:
-        candidates = tuple(sorted(member.vm for view in views.values() for member in view.members))
-        return bool(candidates) and placement.rank("division", candidates)[0] == self._member.vm
-
     async def _write(self, following: model.Shares) -> None:
         value = records.encode(following)
         try:
--- a/src/currantlead/daemon.py
+++ b/src/currantlead/daemon.py
@@ -19,6 +19,7 @@
     directory,
     division,
     drain,
+    duties,
     failover,
     instances,
     members,
@@ -77,6 +78,7 @@
         self.gate.start()
         self.coordinator.start()
         self.divider.start()
+        self.collector.start()
         self.border.start()
         self.timers.subscribe("drain", STATE_CHECK_S, self._follow_state)
         self._write_addresses()
@@ -129,6 +131,7 @@
         )
         run = server.run_on(asyncio.get_running_loop())
         self.store = store.Store(self.platform, self.timers.now, cache=self.directory)
+        self.collector = duties.Collector(self.store, self.timers, cache=self.directory, vm=checked.vm)
         self.node = node.Node(
             node.Parts(
                 directory=self.directory,
@@ -162,6 +165,7 @@
         await self.gate.stop()
         await self.coordinator.stop()
         self.divider.stop()
+        self.collector.stop()
         await self.members.stop()
         await self.relay.stop()
         await self.network.stop()
