--- a/src/currantlead/connections/holder.py
+++ b/src/currantlead/connections/holder.py
@@ -101,7 +101,7 @@
     async def transact(self, work: messages.Transact) -> interfaces.Outcome:
         """Run one statement of a transaction."""
         request = work.statement.request
-        taken = self._pinned.take(work.transaction, work.caller)
+        taken = self._pinned.take(work.transaction, work.caller, work.statement.database)
         if isinstance(taken, verdict.Refusal):
             return self._note(request, "-", 0, result.Err(taken))
         self._under_way += 1
@@ -114,7 +114,7 @@
 
     async def finish(self, work: messages.Finish) -> interfaces.Outcome:
         """Commit or roll back a transaction."""
-        taken = self._pinned.take(work.transaction, work.caller)
+        taken = self._pinned.take(work.transaction, work.caller, work.database)
         if isinstance(taken, verdict.Refusal):
             return self._note(work.request, "-", 0, result.Err(taken))
         self._under_way += 1
--- a/src/currantlead/connections/pinned.py
+++ b/src/currantlead/connections/pinned.py
@@ -197,10 +197,12 @@
             return result.Err(held)
         return await self._turns.run_pinned(held, taken.organisation, deadline, send)
 
-    def take(self, identifier: str, caller: messages.Caller) -> transactions.Transaction | verdict.Refusal:
-        """Find an open transaction and reserve it for one statement, or refuse."""
+    def take(
+        self, identifier: str, caller: messages.Caller, database: str
+    ) -> transactions.Transaction | verdict.Refusal:
+        """Find an open transaction of a database and reserve it for one statement, or refuse."""
         found = self._transactions.find(identifier, caller.organisation)
-        if found is None or found.connection.closed:
+        if found is None or found.connection.closed or found.database != database:
             return checks.refuse(verdict.Reason.UNKNOWN_TRANSACTION, "there is no such open transaction")
         refusal = self._rules.check_caller(caller, found.database, None)
         if refusal is not None:
--- a/src/currantlead/messages.py
+++ b/src/currantlead/messages.py
@@ -122,10 +122,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Finish:
-    """Ask a holder to commit or roll back an open transaction."""
+    """Ask a holder to commit or roll back an open transaction of a database."""
 
     transaction: str
     request: str
     caller: Caller
     commit: bool
     timeout_s: float
+    database: str
--- a/src/currantlead/routing/dispatch.py
+++ b/src/currantlead/routing/dispatch.py
@@ -1,6 +1,7 @@
 """Send work to a VM that holds connections to the target instance."""
 
 import asyncio
+import dataclasses
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Any, Protocol
 
@@ -116,7 +117,13 @@
                 retry_after_s=RETRY_AFTER_S,
             )
         )
-        for vm in self._order(work.instance, domain, request):
+        loop = asyncio.get_running_loop()
+        end = loop.time() + work.timeout_s
+        for number, vm in enumerate(self._order(work.instance, domain, request)):
+            if number > 0:
+                if loop.time() >= end:
+                    return outcome
+                work = dataclasses.replace(work, timeout_s=end - loop.time())
             _log.info("{} for {} goes to holder {}", kind, work.instance, vm, request=request)
             outcome = await self._run_at(vm, kind, local, work)
             if isinstance(outcome, result.Ok) or not _other_holder_may_serve(outcome.err_value):
@@ -131,6 +138,18 @@
         return sorted(ranked, key=lambda vm: (vm != own, not self._membership.alive(vm)))
 
     async def _run_at(
+        self, vm: str, kind: str, local: Callable[[Any], Awaitable[interfaces.Outcome]], work: Any
+    ) -> interfaces.Outcome:
+        outcome = await self._send(vm, kind, local, work)
+        request = work.statement.request if isinstance(work, messages.Execute | messages.Transact) else work.request
+        if isinstance(outcome, result.Ok) and outcome.ok_value.request != request:
+            _log.error("answer of {} names request {}", vm, outcome.ok_value.request, request=request)
+            return result.Err(
+                verdict.Refusal(verdict.Reason.TIMEOUT, verdict.Verdict.MAY_HAVE_RUN, f"no usable answer of {vm}")
+            )
+        return outcome
+
+    async def _send(
         self, vm: str, kind: str, local: Callable[[Any], Awaitable[interfaces.Outcome]], work: _Work
     ) -> interfaces.Outcome:
         if vm == self._peers.member.vm:
--- a/src/currantlead/routing/freshness.py
+++ b/src/currantlead/routing/freshness.py
@@ -15,7 +15,7 @@
 class _Sighting:
     position: messages.Position
     seen_at: float
-    behind_at: float | None = None
+    behind_at: float | None
 
 
 class Freshness:
@@ -34,7 +34,8 @@
         """
         known = self._sightings.get(instance)
         newest = position if known is None else max(known.position, position)
-        self._sightings[instance] = _Sighting(newest, now)
+        # An answer to a read that needed less does not show that the instance has caught up.
+        self._sightings[instance] = _Sighting(newest, now, known.behind_at if known is not None else None)
 
     def record_behind(self, instance: str, position: messages.Position, now: float) -> None:
         """Note that an instance refused a read because it had only reached a position.
@@ -44,9 +45,8 @@
             position: Position that it had applied.
             now: Clock reading in seconds.
         """
-        known = self._sightings.get(instance)
-        newest = position if known is None else max(known.position, position)
-        self._sightings[instance] = _Sighting(newest, now, behind_at=now)
+        # A restarted instance may have lost records, so a higher position of the past does not count.
+        self._sightings[instance] = _Sighting(position, now, behind_at=now)
 
     def known(self) -> list[tuple[str, messages.Position, float]]:
         """Return instance, newest position and the clock reading of its last sighting."""
--- a/src/currantlead/routing/proxy.py
+++ b/src/currantlead/routing/proxy.py
@@ -124,16 +124,22 @@
         organisation = self._keys.organisation(request.key_digest or "")
         if organisation is None:
             return verdict.Refusal(verdict.Reason.UNKNOWN_KEY, detail="the key is unknown or withdrawn")
-        if request.database:
-            configuration = self._directory.configuration
-            if request.database not in configuration.databases:
-                return verdict.Refusal(verdict.Reason.UNKNOWN_DATABASE, detail=f"no database {request.database!r}")
-            if not self._keys.may_use(organisation, request.database):
-                return verdict.Refusal(
-                    verdict.Reason.NOT_GRANTED, detail=f"{organisation} may not use {request.database!r}"
-                )
+        refusal = self._check_database(request, organisation)
+        if refusal is not None:
+            return refusal
         return messages.Caller(organisation, request.key_digest or "")
 
+    def _check_database(self, request: interfaces.CallerRequest, organisation: str) -> verdict.Refusal | None:
+        database = request.database or transactions.database_of(request.transaction)
+        if database not in self._directory.configuration.databases:
+            # The caller writes the text of a transaction id, and its database becomes part of the session token.
+            if not request.database:
+                return transactions.unknown()
+            return verdict.Refusal(verdict.Reason.UNKNOWN_DATABASE, detail=f"no database {database!r}")
+        if not self._keys.may_use(organisation, database):
+            return verdict.Refusal(verdict.Reason.NOT_GRANTED, detail=f"{organisation} may not use {database!r}")
+        return None
+
     async def _serve_open(self, request: interfaces.CallerRequest) -> interfaces.Outcome:
         route = self._directory.configuration.routes.get(request.route)
         if route is None:
--- a/src/currantlead/routing/transactions.py
+++ b/src/currantlead/routing/transactions.py
@@ -5,6 +5,7 @@
 import result
 
 from currantlead import interfaces, messages, verdict
+from currantlead.connections import transactions
 from currantlead.routing import dispatch
 
 
@@ -52,13 +53,12 @@
             The outcome.
         """
         database, _, transaction = request.transaction.partition(".")
-        vm = transaction.partition(".")[0]
-        if not vm:
-            return result.Err(_unknown(request))
+        vm = transactions.parse_vm(transaction)
+        if vm is None:
+            return result.Err(unknown())
         outcome = await self._send(request, caller, database, transaction, vm)
-        if isinstance(outcome, result.Err) and outcome.err_value.reason is verdict.Reason.UNREACHABLE:
-            # The holder is gone, and with it the connection: the endpoint rolls the transaction back.
-            return result.Err(_unknown(request))
+        if isinstance(outcome, result.Err) and _is_gone(outcome.err_value):
+            return result.Err(unknown())
         return outcome
 
     async def _send(
@@ -71,11 +71,18 @@
             )
             return await self._dispatcher.transact(messages.Transact(transaction, statement, caller, timeout_s), vm)
         commit = request.action is interfaces.Action.COMMIT
-        finish = messages.Finish(transaction, request.request, caller, commit, timeout_s)
+        finish = messages.Finish(transaction, request.request, caller, commit, timeout_s, database)
         return await self._dispatcher.finish(finish, vm)
 
 
-def _unknown(request: interfaces.CallerRequest) -> verdict.Refusal:
+def unknown() -> verdict.Refusal:
+    """Return the refusal of a request whose transaction cannot be reached; an earlier commit may have succeeded."""
     return verdict.Refusal(
-        verdict.Reason.UNKNOWN_TRANSACTION, detail="the transaction is unknown; it was rolled back if it was ever open"
+        verdict.Reason.UNKNOWN_TRANSACTION,
+        detail="there is no such open transaction; one that was not committed is rolled back",
     )
+
+
+def _is_gone(refusal: verdict.Refusal) -> bool:
+    """Tell whether the VM that held a transaction did not get the request; its transactions end without it."""
+    return refusal.reason is verdict.Reason.UNREACHABLE and refusal.verdict is verdict.Verdict.NOT_RUN
--- a/src/currantlead/wire.py
+++ b/src/currantlead/wire.py
@@ -61,10 +61,18 @@
     if "answer" in body:
         return result.Ok(from_map(messages.Answer, body["answer"]))
     if "refusal" in body:
-        return result.Err(from_map(verdict.Refusal, body["refusal"]))
+        return result.Err(_refusal_from_map(body["refusal"]))
     raise errors.MalformedFrameError("reply holds neither an answer nor a refusal")
 
 
+def _refusal_from_map(body: Any) -> verdict.Refusal:
+    refusal = from_map(verdict.Refusal, body)
+    # The default of the data class is "not run", which a reply must state and not imply.
+    if "verdict" not in body or refusal.verdict is verdict.Verdict.COMPLETED:
+        raise errors.MalformedFrameError("Refusal.verdict: must be not_run or may_have_run")
+    return refusal
+
+
 @functools.cache
 def _adapter(kind: type[Any]) -> pydantic.TypeAdapter[Any]:
     if not dataclasses.is_dataclass(kind):
--- a/tests/standins/calls.py
+++ b/tests/standins/calls.py
@@ -28,16 +28,18 @@
     return await cluster.holder.begin(messages.Begin(f"b{next(_numbers)}", "ledger", caller, **fields))
 
 
-async def transact(cluster, transaction, sql="insert into t values (9)", *, caller=FARM, write=True, timeout_s=2.0):
+async def transact(
+    cluster, transaction, sql="insert into t values (9)", *, caller=FARM, write=True, timeout_s=2.0, database="ledger"
+):
     """Run a statement of a transaction."""
-    statement = messages.Statement(f"t{next(_numbers)}", "ledger", sql, write=write)
+    statement = messages.Statement(f"t{next(_numbers)}", database, sql, write=write)
     return await cluster.holder.transact(messages.Transact(transaction, statement, caller, timeout_s))
 
 
-async def finish(cluster, transaction, *, commit=True, caller=FARM, timeout_s=2.0):
+async def finish(cluster, transaction, *, commit=True, caller=FARM, timeout_s=2.0, database="ledger"):
     """Commit or roll back."""
     return await cluster.holder.finish(
-        messages.Finish(transaction, f"f{next(_numbers)}", caller, commit, timeout_s=timeout_s)
+        messages.Finish(transaction, f"f{next(_numbers)}", caller, commit, timeout_s, database)
     )
 
 
--- a/tests/test_pinned.py
+++ b/tests/test_pinned.py
@@ -32,12 +32,14 @@
 
 
 async def test_transaction_belongs_to_one_organisation(cluster):
-    """Neither another organisation nor a guessed secret reaches a transaction."""
+    """Neither another organisation, a guessed secret nor another database in the id reaches a transaction."""
     transaction = (await calls.begin(cluster)).ok_value.transaction
     guessed = transaction.rpartition(".")[0] + ".guess"
     for outcome in (
         await calls.transact(cluster, transaction, caller=calls.MILL),
         await calls.finish(cluster, transaction, caller=calls.MILL),
+        await calls.transact(cluster, transaction, database="other"),
+        await calls.finish(cluster, transaction, database="other"),
         await calls.transact(cluster, guessed),
         await calls.transact(cluster, "nonsense"),
     ):
