Replace a primary that answers monitors but has lost its peers

Cause: a monitor gave up its suspicion as soon as the primary answered it. A primary that VMs reach but its replicas don't kept its role: its writes were executed and never acknowledged.

Change: the first monitor also promotes if all replicas that are needed for a majority report, in two rounds, that they have lost the primary. The old primary takes the new term but cannot win; a majority must answer without it, so no acknowledged write is lost. A holder reports a write that is unacknowledged after 1 s, so that the replicas are asked at once.

--- a/src/currantlead/connections/acknowledgement.py
+++ b/src/currantlead/connections/acknowledgement.py
@@ -28,7 +28,7 @@
 
     def __init__(self, group: model.Group, replicas: Mapping[str, endpoint.Endpoint]):
         self.term = group.term
-        self._group = group.name
+        self.group = group.name
         self._replicas = replicas
         self._majority = len(group.instances) // 2 + 1
         self._received: dict[str, int] = {}
@@ -139,7 +139,7 @@
 
     def _lose(self, name: str) -> None:
         if self._contact.pop(name, None) is not None:
-            _log.warning("{}: replica {} gives no positions in term {}", self._group, name, self.term)
+            _log.warning("{}: replica {} gives no positions in term {}", self.group, name, self.term)
 
     def _fail_waiting(self) -> None:
         for _, _, waiter in self._waiting:
--- a/src/currantlead/connections/turns.py
+++ b/src/currantlead/connections/turns.py
@@ -12,6 +12,8 @@
 BUSY_PAUSE_S = 0.02
 # An instance that cannot be reached is tried again for this long only: long enough to replace a closed connection,
 # short enough that the proxy can turn to another instance or wait for a promotion.
+# A replica confirms that it has lost its primary after 1 s, so an earlier report would find no evidence.
+UNACKNOWLEDGED_S = 1.0
 UNREACHABLE_REPEAT_S = 0.1
 
 Outcome = result.Result[endpoint.Reply, verdict.Refusal]
@@ -89,11 +91,20 @@
         if reply.term != term:
             detail = f"the instance answered in term {reply.term}, not {term}"
             return verdict.Refusal(verdict.Reason.STALE_TERM, verdict.Verdict.MAY_HAVE_RUN, detail)
-        if tracker is None or (tracker.term == term and await tracker.wait(reply.index, timeout_s=self.left(deadline))):
+        if tracker is None or (tracker.term == term and await self._wait_reporting(tracker, reply.index, deadline)):
             return None
         detail = "no majority acknowledged in time"
         return verdict.Refusal(verdict.Reason.NO_MAJORITY, verdict.Verdict.MAY_HAVE_RUN, detail)
 
+    async def _wait_reporting(self, tracker: acknowledgement.Tracker, index: int, deadline: float) -> bool:
+        """Wait for a majority; tell the monitors early if it takes long, since the primary may have lost its peers."""
+        if await tracker.wait(index, timeout_s=min(UNACKNOWLEDGED_S, self.left(deadline))):
+            return True
+        group = self._directory.groups.get(tracker.group)
+        if group is not None and group.term == tracker.term and self._on_silent is not None:
+            self._on_silent(group.name, group.primary, group.term)
+        return await tracker.wait(index, timeout_s=self.left(deadline))
+
     async def min_time(self, work: messages.Execute, deadline: float) -> float | verdict.Refusal | None:
         """Return the time on the primary's clock that a read with a maximum age must show."""
         statement = work.statement
--- a/src/currantlead/control/coordinator.py
+++ b/src/currantlead/control/coordinator.py
@@ -26,6 +26,7 @@
     suspicion: failover.Suspicion
     primary: str
     next_poll: float
+    isolation: failover.Isolation = dataclasses.field(default_factory=failover.Isolation)
     version: int = 0
     version_since: float = 0.0
     next_replica_poll: float = 0.0
@@ -153,6 +154,7 @@
             watch.version, watch.version_since = group.version, now
         if watch.primary != group.primary:
             watch.primary, watch.suspicion = group.primary, failover.Suspicion(now)
+            watch.isolation = failover.Isolation()
         if group.phase is model.Phase.ELECTING:
             if failover.abandoned(watch.version_since, now) and now >= watch.not_before:
                 await self._promote(group, watch, "the promotion before was abandoned")
@@ -188,6 +190,8 @@
                 await self._promote(group, watch, f"primary {group.primary} returned with fewer records than a replica")
             return
         await self._repair(group, statuses)
+        if await self._replace_isolated(group, watch, statuses):
+            return
         if reason is None or not planned:
             return
         target = failover.planned_target(group, configuration, self._empty_since, statuses, now)
@@ -197,6 +201,20 @@
             return
         await self._promote(group, watch, reason, target)
 
+    async def _replace_isolated(
+        self, group: model.Group, watch: _Watch, statuses: Mapping[str, failover.Status | None]
+    ) -> bool:
+        """Promote a replica if the primary answers here but no majority hears it; tell whether one was started."""
+        now = self._clock.now()
+        watch.isolation.observe(now, isolated=failover.is_isolated(group, statuses))
+        if watch.isolation.suspected:
+            watch.next_replica_poll = now
+        if not watch.isolation.confirmed(now) or now < watch.not_before:
+            return False
+        reason = f"primary {group.primary} answers, but the replicas have lost it"
+        await self._promote(group, watch, reason, excluded=group.primary)
+        return True
+
     async def _repair(self, group: model.Group, statuses: Mapping[str, failover.Status | None]) -> None:
         for status in statuses.values():
             if status is not None and (order := failover.repair(group, status, primary_answers=True)) is not None:
@@ -224,9 +242,18 @@
             _log.debug("group {}: {} gets no answer from the primary", name, sender)
             watch = self._watch(name, self._clock.now())
             watch.next_poll = min(watch.next_poll, self._clock.now())
+            watch.next_replica_poll = min(watch.next_replica_poll, self._clock.now())
         return {}
 
-    async def _promote(self, known: model.Group, watch: _Watch, reason: str, target: str | None = None) -> None:
+    async def _promote(
+        self,
+        known: model.Group,
+        watch: _Watch,
+        reason: str,
+        target: str | None = None,
+        *,
+        excluded: str | None = None,
+    ) -> None:
         watch.not_before = self._clock.now() + PAUSE_AFTER_ATTEMPT_S
         try:
             group = await self._records.read(known.name)
@@ -239,7 +266,7 @@
                 self._records.announce(group)
             return
         _log.info("group {}: starts term {}: {}", group.name, group.term + 1, reason)
-        steps = promotion.Promotion(group, now=self._clock.now(), target=target)
+        steps = promotion.Promotion(group, now=self._clock.now(), target=target, excluded=excluded)
         task = asyncio.create_task(self._run(steps, watch))
         self._promotions.add(task)
         task.add_done_callback(self._promotions.discard)
--- a/src/currantlead/control/failover.py
+++ b/src/currantlead/control/failover.py
@@ -11,6 +11,8 @@
 SUSPECT_AFTER_S = 1.0
 STAGGER_S = 1.5
 CONTACT_LOST_S = 1.0
+# Replicas that follow nobody after an abandoned promotion are told their primary first and hear it within 0.5 s.
+ISOLATED_S = 0.75
 ABANDONED_AFTER_S = 2.0
 DOMAIN_EMPTY_S = 3.0
 # A gap between two polls that is longer than this means that the monitor itself was paused.
@@ -159,6 +161,42 @@
     return Evidence(True, f"primary {group.primary} is unreachable and {', '.join(silent)} lost it")
 
 
+class Isolation:
+    """Note how long too few replicas have heard a primary that answers the monitor itself."""
+
+    def __init__(self) -> None:
+        self._since: float | None = None
+
+    def observe(self, now: float, *, isolated: bool) -> None:
+        """Take note of one round of answers."""
+        if not isolated:
+            self._since = None
+        elif self._since is None:
+            self._since = now
+
+    @property
+    def suspected(self) -> bool:
+        """Tell whether the last round showed an isolated primary."""
+        return self._since is not None
+
+    def confirmed(self, now: float) -> bool:
+        """Tell whether two rounds agree, with time for replicas that were told to follow the primary to do so."""
+        return self._since is not None and now - self._since >= ISOLATED_S
+
+
+def is_isolated(group: model.Group, statuses: Mapping[str, Status | None]) -> bool:
+    """Tell whether a primary that answers cannot reach a majority because the replicas have lost it.
+
+    A promotion then needs a majority of the instances besides the primary, so all of these must answer and have lost
+    it; a replica that does not answer is no evidence.
+    """
+    replicas = [statuses.get(instance.name) for instance in group.instances if instance.name != group.primary]
+    lost = [s for s in replicas if s is not None and s.term == group.term and _lost_contact(s)]
+    hearing = [s for s in replicas if s is not None and not _lost_contact(s)]
+    needed = majority(len(group.instances))
+    return len(lost) >= needed and 1 + len(hearing) < needed
+
+
 def _lost_contact(status: Status) -> bool:
     return status.primary_contact_age is None or status.primary_contact_age >= CONTACT_LOST_S
 
--- a/src/currantlead/control/promotion.py
+++ b/src/currantlead/control/promotion.py
@@ -69,18 +69,21 @@
 
     state: str
 
-    def __init__(self, group: model.Group, *, now: float, target: str | None = None):
+    def __init__(self, group: model.Group, *, now: float, target: str | None = None, excluded: str | None = None):
         """Prepare a promotion.
 
         Args:
             group: The record as just read from the store.
             now: Clock reading.
             target: The replica to promote in a planned change, or None after a failure.
+            excluded: An isolated instance that must not win, or None. A majority must then answer without it, so that
+                its absence loses no acknowledged write.
         """
         self._chart = charts.attach(self, "promotion")
         self.group = dataclasses.replace(group, term=group.term + 1, phase=model.Phase.ELECTING, primary="")
         self._old_primary = group.primary
         self._target = target
+        self._excluded = excluded
         self._since = now
         self._asked: dict[str, float] = {}
         self._answers: dict[str, failover.Status] = {}
@@ -191,10 +194,13 @@
         return self._decide(now) if self._majority() and everyone else []
 
     def _majority(self) -> bool:
-        return len(self._answers) >= failover.majority(len(self.group.instances))
+        return len(self._candidates()) >= failover.majority(len(self.group.instances))
+
+    def _candidates(self) -> list[failover.Status]:
+        return [status for name, status in self._answers.items() if name != self._excluded]
 
     def _decide(self, now: float) -> list[Action]:
-        winner = choose(list(self._answers.values()), self._target)
+        winner = choose(self._candidates(), self._target)
         # Records of the winner beyond the start of a later, abandoned term were never acknowledged. Counting them
         # would let the log of that term's primary pass for a copy of the winner's.
         start = failover.shared_index(self.group, winner)
--- /dev/null
+++ b/tests/process/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with real processes: entry VMs, stand-ins and callers on loopback."""
--- /dev/null
+++ b/tests/process/harness.py
@@ -0,0 +1,207 @@
+"""Start a small deployment for tests with real processes, send load to it and cause failures."""
+
+import asyncio
+import contextlib
+import dataclasses
+import hashlib
+import itertools
+import random
+import time
+from collections.abc import Callable, Iterator
+from concurrent import futures
+from typing import Any
+
+import aiohttp
+
+from tools import cluster, deployments, load, workload
+
+DATABASE = "ledger-1"
+LARGE, SMALL = "mill", "farm"
+KEYS = {LARGE: "key-of-the-mill-5c1f", SMALL: "key-of-the-farm-88ab"}
+DEPLOYMENT = deployments.Deployment(
+    name="thessaly",
+    vms={"larisa": 3, "naousa": 3, "metsovo": 2},
+    databases=(DATABASE,),
+    slots=4,
+    connections=12,
+    connect_time_s=0.01,
+)
+IN_FORCE_S = 2.0
+POLL_S = 0.05
+_marks = itertools.count()
+
+
+@contextlib.contextmanager
+def deploy(deployment: deployments.Deployment = DEPLOYMENT, **more: Any) -> Iterator[cluster.Cluster]:
+    """Run a configured deployment with tables."""
+    with cluster.Cluster(deployment, **more) as running:
+        commands = [f"add domain {domain} region greece" for domain in deployment.vms]
+        commands.append(f"add service ledger slots {deployment.slots} connections {deployment.connections}")
+        commands += [f"add database {name} service ledger" for name in deployment.databases]
+        commands.append(f"add organisation {LARGE} rate 400 burst 800 services ledger")
+        commands.append(f"add organisation {SMALL} rate 100 burst 200 services ledger")
+        commands += [f"add key first organisation {name} digest {digest(key)}" for name, key in KEYS.items()]
+        operate(running, "; ".join(commands))
+        with futures.ThreadPoolExecutor(1) as thread:
+            # The caller may be inside a running loop.
+            thread.submit(asyncio.run, _create_tables(running)).result()
+        yield running
+
+
+def digest(key: str) -> str:
+    """Return the digest that the configuration holds for a key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def running_vms(running: cluster.Cluster) -> list[cluster.Process]:
+    """Return the VMs whose process has not ended."""
+    return [vm for vm in running.vms.values() if vm.popen.poll() is None]
+
+
+def operate(running: cluster.Cluster, text: str, *, vm: str | None = None) -> dict[str, Any]:
+    """Run operators' commands on a VM and return the answer."""
+    target = running.vms[vm] if vm else running_vms(running)[0]
+    headers = {"Authorization": f"Bearer {running.operator_key}"}
+    url = f"http://{target.addresses['operator']}/operators/commands"
+    return cluster.call(url, {"text": text}, headers=headers, timeout_s=15.0)
+
+
+def control_platform(running: cluster.Cluster, **faults: Any) -> None:
+    """Change the faults of the platform."""
+    cluster.call(f"{running.platform.url}/control", faults)
+
+
+def control_endpoint(running: cluster.Cluster, instance: str, **faults: Any) -> None:
+    """Change the faults of an instance."""
+    cluster.call(f"{running.endpoints[instance].url}/control", faults)
+
+
+def status(running: cluster.Cluster, instance: str) -> dict[str, Any]:
+    """Return the status of an instance."""
+    return cluster.call(f"{running.endpoints[instance].url}/status", timeout_s=2.0)
+
+
+async def until(condition: Callable[[], Any], timeout_s: float) -> float:
+    """Poll a condition on a worker thread and return the seconds until it held."""
+    started = time.monotonic()
+    while not await asyncio.to_thread(condition):
+        if time.monotonic() - started > timeout_s:
+            raise AssertionError(f"condition did not hold within {timeout_s} s")
+        await asyncio.sleep(POLL_S)
+    return time.monotonic() - started
+
+
+@contextlib.asynccontextmanager
+async def http_client(*, keep_alive: bool = False) -> Any:
+    """Open an HTTP client without a limit of connections."""
+    connector = aiohttp.TCPConnector(limit=0, force_close=not keep_alive)
+    async with aiohttp.ClientSession(connector=connector) as http:
+        yield http
+
+
+def insert(session: str = "probe-0", *, keyed: bool = False) -> load.Operation:
+    """Return a write with a mark of its own."""
+    mark = f"{session}-m{next(_marks)}"
+    sql = "insert into consignments (id, session, shepherd, fleeces) values (?, ?, 'ares', 1)"
+    return load.Operation(
+        DATABASE,
+        sql,
+        [mark, session],
+        write=True,
+        mark=mark,
+        ledger="consignments",
+        session=session,
+        idempotency_key=mark if keyed else None,
+    )
+
+
+def read(session: str = "probe-0") -> load.Operation:
+    """Return a read of the rows of a session."""
+    sql = "select id from consignments where session = ?"
+    return load.Operation(DATABASE, sql, [session], ledger="consignments", session=session)
+
+
+def roaming_session(
+    running: cluster.Cluster, http: aiohttp.ClientSession, organisation: str = LARGE, *, seed: int = 0, vms: Any = None
+) -> load.Session:
+    """Return a session that goes to another VM with each request."""
+    draws = random.Random(seed)
+    names = vms or list(running.vms)
+    return load.Session(http, lambda: running.vms[draws.choice(names)].url, KEYS[organisation])
+
+
+@dataclasses.dataclass(slots=True)
+class Load:
+    """Send a workload in the background and keep what callers were told."""
+
+    running: cluster.Cluster
+    http: aiohttp.ClientSession
+    rate: float = 80.0
+    sessions: int = 16
+    attempts: int = 6
+    seed: int = 1
+    organisation: str = LARGE
+    through_balancer: bool = False
+    vms: list[str] | None = None
+
+    async def run(self, seconds: float) -> list[load.Told]:
+        """Send for a time and return the answers."""
+        draws = random.Random(self.seed)
+        work = workload.Workload("thessaly", self.running.deployment.databases, seed=self.seed)
+        sessions = {f"s{self.seed}-{n}": self._session(n) for n in range(self.sessions)}
+        sends = []
+        for number, at in enumerate(load.poisson_arrivals(self.rate, seconds, self.seed)):
+            name = draws.choice(list(sessions))
+            send = sessions[name].send
+            operation = work.draw(name)
+            sends.append((at, lambda s=send, o=operation, n=number: s(o, attempts=self.attempts, seed=n)))
+        return await load.run_open_loop(sends)
+
+    def _session(self, number: int) -> load.Session:
+        if self.through_balancer:
+            url = self.running.balancer.url
+            return load.Session(self.http, lambda: url, KEYS[self.organisation])
+        seed = self.seed * 1000 + number
+        return roaming_session(self.running, self.http, self.organisation, seed=seed, vms=self.vms)
+
+
+async def probe_writes(session: load.Session, stop: asyncio.Event, every_s: float = 0.05) -> list[load.Told]:
+    """Send writes at a steady pace, without waiting for answers, until the event is set."""
+    tasks = []
+    while not stop.is_set():
+        tasks.append(asyncio.ensure_future(session.send(insert())))
+        await asyncio.sleep(every_s)
+    return list(await asyncio.gather(*tasks))
+
+
+def longest_gap(told: list[load.Told]) -> float:
+    """Return the longest time between the ends of two successive completed statements."""
+    ends = sorted(item.at + item.latency_s for item in told if item.verdict == load.COMPLETED)
+    return max((after - before for before, after in itertools.pairwise(ends)), default=float("inf"))
+
+
+async def read_marks(running: cluster.Cluster, http: aiohttp.ClientSession) -> dict[tuple[str, str], list[str]]:
+    """Read all marks at the primaries."""
+    session = load.Session(http, lambda: running_vms(running)[0].url, KEYS[LARGE])
+    marks = {}
+    for database in running.deployment.databases:
+        for ledger in workload.Workload("thessaly", [database]).ledgers:
+            operation = load.Operation(database, f"select id from {ledger}", [], write=True)
+            told = await session.send(operation, attempts=20)
+            assert told.verdict == load.COMPLETED, (told.verdict, told.reason)
+            marks[(database, ledger)] = [row[0] for row in told.rows]
+    return marks
+
+
+async def compare(running: cluster.Cluster, http: aiohttp.ClientSession, told: list[load.Told]) -> workload.Ledger:
+    """Compare the tables at the primaries with what callers were told."""
+    return workload.compare(told, await read_marks(running, http))
+
+
+async def _create_tables(running: cluster.Cluster) -> None:
+    async with http_client() as http:
+        session = load.Session(http, lambda: running_vms(running)[0].url, KEYS[LARGE])
+        for database in running.deployment.databases:
+            for sql in workload.Workload("thessaly", [database]).schema:
+                told = await session.send(load.Operation(database, sql, [], write=True), attempts=20)
+                assert told.verdict == load.COMPLETED, (told.verdict, told.reason)
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -100,6 +100,8 @@
         self.died = None
         self.blind_to = set(blind_to)
         self.lost_orders = 0
+        self.cut = None
+        self.cut_at = 0.0
 
     def kill(self, name):
         """Stop an instance."""
@@ -112,8 +114,14 @@
         if not fake.up or instance.name in self.blind_to:
             return None
         fake.silent_s = 0.1 if self.died is None or fake.term > 1 else self.clock.now() - self.died
+        if self.cut is not None and self.cut in (instance.name, fake.follows) and fake.role == "replica":
+            fake.silent_s = self.clock.now() - self.cut_at
         return fake.status()
 
+    def cut_from_peers(self, name):
+        """Let VMs reach an instance that exchanges nothing with its peers."""
+        self.cut, self.cut_at = name, self.clock.now()
+
     async def set_term(self, group, order):
         """Apply the order unless it is lost."""
         fake = self.instances[order.instance]
@@ -282,6 +290,35 @@
     await world.stop()
 
 
+async def test_primary_that_lost_its_peers_is_replaced_in_time():
+    """Guards against a primary that answers the monitors, and keeps its role, but can have no write acknowledged."""
+    world = World()
+    for fake in world.client.instances.values():
+        fake.log = [(1, 1), (1, 2)]
+    await world.run(2.0)
+    # Records that no replica has received must not let the cut instance win.
+    world.client.instances["a"].log.append((1, 3))
+    world.client.cut_from_peers("a")
+    await world.run(1.0)
+    await world.peers[0].handlers["suspect"]("vm-x", {"group": "db"})
+    assert 1.0 + await world.run(6.0, world.promoted) <= 3.5
+    await world.run(4.0)
+    group = world.platform.group
+    assert (group.term, group.primary, group.starts[2]) == (2, "c", 2)
+    await world.stop()
+
+
+async def test_primary_that_one_replica_hears_stays():
+    """Guards against a promotion while a majority can still acknowledge."""
+    world = World()
+    await world.run(1.0)
+    world.client.cut_from_peers("b")
+    await world.run(6.0)
+    assert world.client.instances["b"].silent_s > 1.0
+    assert world.platform.group.term == 1
+    await world.stop()
+
+
 async def test_suspect_hint_polls_at_once():
     """Guards against hints that are ignored until the next regular poll; a hint is no evidence by itself."""
     world = World((1,))
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -49,6 +49,22 @@
     assert not failover.weigh(GROUP, answers).confirmed
 
 
+@pytest.mark.parametrize(
+    ("b", "c", "isolated"),
+    [
+        (status("b", age=1.2), status("c", age=1.2), True),
+        (status("b", age=None), status("c", age=1.2), True),
+        (status("b", age=1.2), status("c", age=0.2), False),
+        (status("b", age=1.2), None, False),
+        (status("b", age=1.2), status("c", age=1.2, term=2), False),
+    ],
+)
+def test_isolation_needs_a_majority_besides_the_primary(b, c, isolated):
+    """Guards against replacing a primary that can acknowledge, and against excluding it without a majority."""
+    answers = {"a": status("a", role="primary"), "b": b, "c": c}
+    assert failover.is_isolated(GROUP, answers) is isolated
+
+
 @pytest.mark.parametrize(
     ("polls", "place", "suspected"),
     [
--- a/tests/test_holder.py
+++ b/tests/test_holder.py
@@ -300,3 +300,15 @@
     refused = await cluster.holder.execute(calls.work(instance="ledger-b", timeout_s=10.0))
     assert calls.reason_of(refused) == (Reason.UNREACHABLE, NOT_RUN)
     assert asyncio.get_running_loop().time() - started < 1.0
+
+
+async def test_write_without_acknowledgement_is_reported():
+    """Guards against a primary that lost its peers, which nobody would ask about before the next regular poll."""
+    async with fakes.running(service={"queue_timeout_s": 5.0}) as running:
+        assert (await running.holder.execute(calls.work("create table t (x)", write=True))).is_ok()
+        running.primary.controls.cut_from = ["ledger-b", "ledger-c"]
+        for name in ("ledger-b", "ledger-c"):
+            running.instances[name].controls.cut_from = ["ledger-a"]
+        outcome = await running.holder.execute(calls.insert(timeout_s=2.0))
+        assert outcome.err_value.verdict is MAY_HAVE_RUN
+        assert ("ledger", "ledger-a", 1) in running.silent
--- a/tests/test_promotion_machine.py
+++ b/tests/test_promotion_machine.py
@@ -26,13 +26,13 @@
         self.pending = {0: [], 1: [], 2: []}
         self.now = 0.0
 
-    @stateful.rule(who=COORDINATORS, successor=st.none() | INSTANCES)
-    def begin(self, who, successor):
+    @stateful.rule(who=COORDINATORS, successor=st.none() | INSTANCES, excluded=st.none() | INSTANCES)
+    def begin(self, who, successor, excluded=None):
         """A coordinator starts, with no evidence at all: safety must not rest on suspicion."""
         if who in self.steps and not self.steps[who].ended:
             return
         group = self.cluster.store.group
-        self.steps[who] = promotion.Promotion(group, now=self.now, target=successor)
+        self.steps[who] = promotion.Promotion(group, now=self.now, target=successor, excluded=excluded)
         self.pending[who] += [(self.steps[who], action) for action in self.steps[who].start()]
 
     @stateful.rule(who=COORDINATORS, pick=st.integers(0, 5), fate=FATES)
