Measure how the costs of one VM grow with the deployment

tools/heartbeat_cost.py sent three small numbers in each heartbeat, but the daemon sends the summaries of all object kinds and compares them on receipt, so the tool understated processor time and bytes.

Heartbeats now carry what the daemon's heartbeats carry.

--- a/tools/heartbeat_cost.py
+++ b/tools/heartbeat_cost.py
@@ -15,8 +15,10 @@
 import typer
 
 from currantlead import logs, timers
-from currantlead.control import members, model, views
+from currantlead.control import directory, members, model, relay, views
 from currantlead.peers import network
+from currantlead.routing import placement
+from tools import sizes
 
 
 class _NoPlatform:
@@ -45,14 +47,29 @@
 
 
 def _make(
-    peers: network.Network, view: model.View, clock: timers.TimerService, interval_s: float = members.HEARTBEAT_S
+    peers: network.Network,
+    cache: directory.Directory,
+    view: model.View,
+    clock: timers.TimerService,
+    interval_s: float = members.HEARTBEAT_S,
 ) -> members.Members:
-    vm = members.Members(peers, _NoPlatform(view), _NoDirectory(), clock, heartbeat_s=interval_s)
-    for name, value in (("c", 123456), ("h", 77), ("l", False)):
-        vm.add_number(name, lambda value=value: value)
+    """Create the members' part with the numbers that the daemon's heartbeats carry."""
+    platform = _NoPlatform(view)
+    vm = members.Members(peers, platform, _NoDirectory(), clock, heartbeat_s=interval_s)
+    state = relay.Relay(platform, cache, peers, clock, placement.rank)
+    vm.add_number("state", state.numbers)
+    vm.add_number("shares", lambda: cache.shares.number)
+    vm.add_report_callback(lambda name, numbers: state.on_peer_numbers(name, numbers.get("state", {})))
     return vm
 
 
+def _make_cache() -> directory.Directory:
+    """Return a directory of the target size, confirmed so that the numbers carry an age as in a daemon."""
+    cache = sizes.fill(directory.Directory(time.monotonic), sizes.TARGET)
+    cache.confirm(0, time.monotonic())
+    return cache
+
+
 async def _start_networks(names: list[str]) -> list[network.Network]:
     networks = [network.Network(name, "larisa") for name in names]
     for peers in networks:
@@ -70,11 +87,12 @@
         measured = pipe.recv()
         clock = timers.TimerService()
         clock.start()
+        cache = _make_cache()
         for peers in networks:
             view = model.View("larisa", 1, (measured, peers.member), None, 1)
             # The peers' own views are small; they take the interval of the measured VM's view.
             large = count > members.LARGE_VIEW
-            vm = _make(peers, view, clock, members.LARGE_VIEW_HEARTBEAT_S if large else members.HEARTBEAT_S)
+            vm = _make(peers, cache, view, clock, members.LARGE_VIEW_HEARTBEAT_S if large else members.HEARTBEAT_S)
             await vm.start()
             vm.adopt(view)
         await asyncio.sleep(seconds)
@@ -82,7 +100,7 @@
     asyncio.run(run())
 
 
-async def _measure_heartbeats(count: int, seconds: float) -> tuple[float, float, float]:
+async def measure_heartbeats(count: int, seconds: float) -> tuple[float, float, float]:
     """Return the share of a core, bytes sent and bytes received, for one VM and second."""
     pipe, other_end = multiprocessing.Pipe()
     settling_s = 4.0
@@ -95,7 +113,7 @@
     clock = timers.TimerService()
     clock.start()
     view = model.View("larisa", 1, (peers.member, *others), None, 1)
-    vm = _make(peers, view, clock)
+    vm = _make(peers, _make_cache(), view, clock)
     await vm.start()
     vm.adopt(view)
     await asyncio.sleep(settling_s)
@@ -150,7 +168,7 @@
         print(f"request and reply, {concurrent} at once: {cost:.0f} us of processor time, both ends")
     rows = []
     for count in (8, 22, 43, 86):
-        share, sent, received = asyncio.run(_measure_heartbeats(count, seconds))
+        share, sent, received = asyncio.run(measure_heartbeats(count, seconds))
         rows.append((count, share, sent + received))
         print(f"view of {count}: {share:.3%} of a core, {sent:.0f} B/s sent, {received:.0f} B/s received")
     (small, share, traffic), (large, large_share, large_traffic) = rows[0], rows[-1]
--- /dev/null
+++ b/tools/sizes.py
@@ -0,0 +1,143 @@
+"""The target size, and synthetic shared state of any size for measurements."""
+
+import dataclasses
+import hashlib
+
+from currantlead import interfaces
+from currantlead.control import configuration, directory, model, records
+
+SERVICE = "sql"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Size:
+    """Hold the numbers of a deployment; the defaults are the target of docs/design.md, section 2.
+
+    The target names no number of organisations; 1,600 organisations of 2 keys are an assumption of these tools.
+    """
+
+    vms: int = 600
+    domains: int = 7
+    regions: int = 2
+    databases: int = 650
+    instances_each: int = 3
+    organisations: int = 1600
+    keys: int = 2
+    client_connections: int = 1_600_000
+    statements_s: float = 190_000.0
+    primary_changes_day: int = 2
+    configuration_changes_day: int = 1600
+    vm_failures_day: int = 4
+    restarts_day: int = 330
+
+    @property
+    def members(self) -> int:
+        """Return the VMs of the largest domain."""
+        return -(-self.vms // self.domains)
+
+    @property
+    def instances(self) -> int:
+        """Return the number of instances."""
+        return self.databases * self.instances_each
+
+    @property
+    def groups_monitored(self) -> float:
+        """Return the mean number of groups that a VM monitors."""
+        return self.databases * min(3, self.instances_each) / self.vms
+
+    @property
+    def instances_held(self) -> float:
+        """Return the mean number of instances that a VM holds; each has two holders."""
+        return 2 * self.instances / self.vms
+
+    @property
+    def primaries_held(self) -> float:
+        """Return the mean number of primaries that a VM holds."""
+        return 2 * self.databases / self.vms
+
+
+TARGET = Size()
+
+
+def domain_names(size: Size) -> list[str]:
+    """Return the names of the failure domains."""
+    return [f"domain-{number}" for number in range(size.domains)]
+
+
+def views(size: Size) -> list[model.View]:
+    """Return one view for each domain."""
+    names = domain_names(size)
+    made = []
+    for place, name in enumerate(names):
+        count = size.vms // size.domains + (place < size.vms % size.domains)
+        members = tuple(
+            model.Member(f"{name}-vm-{number:03}", name, 2**60 + number, f"127.0.0.1:{20000 + number}")
+            for number in range(count)
+        )
+        made.append(model.View(name, 1, members, None, 1))
+    return made
+
+
+def groups(size: Size) -> list[model.Group]:
+    """Return the groups, their instances spread evenly over the domains."""
+    names = domain_names(size)
+    made = []
+    for number in range(size.databases):
+        name = f"database-{number:04}"
+        instances = tuple(
+            model.Instance(f"{name}-{place}", f"http://127.0.0.1:{9000 + place}", names[(number + place) % len(names)])
+            for place in range(size.instances_each)
+        )
+        made.append(model.Group(name, 1, model.Phase.STABLE, instances[0].name, instances, {1: 0}, 1))
+    return made
+
+
+def _digest(text: str) -> str:
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def organisation(number: int, keys: int, rate: float = 500.0) -> model.Organisation:
+    """Return one organisation."""
+    name = f"organisation-{number:05}"
+    digests = {f"key-{key}": _digest(f"{name}/{key}") for key in range(keys)}
+    return model.Organisation(name, rate, 500.0, (SERVICE,), digests)
+
+
+def make_configuration(size: Size, number: int = 1) -> model.Configuration:
+    """Return the configuration of a deployment."""
+    organisations = [organisation(each, size.keys) for each in range(size.organisations)]
+    names = domain_names(size)
+    regions = {name: f"region-{place % size.regions}" for place, name in enumerate(names)}
+    return model.Configuration(
+        number=number,
+        domains={name: model.Domain(name, regions[name]) for name in names},
+        services={SERVICE: model.Service(SERVICE, slots=5, connections=50)},
+        databases={f"database-{n:04}": model.Database(f"database-{n:04}", SERVICE) for n in range(size.databases)},
+        organisations={each.name: each for each in organisations},
+    )
+
+
+def configuration_objects(settings: model.Configuration) -> list[interfaces.StoredObject]:
+    """Return the parts and the index of a configuration as the platform stores them."""
+    encoded = configuration.encode(settings)
+    parts = [
+        interfaces.StoredObject(configuration.PART_KIND, name, 1, configuration.part_value(text))
+        for name, text in encoded.texts.items()
+    ]
+    index = configuration.Index(number=settings.number, change_id=f"change-{settings.number}", parts=encoded.labels)
+    value = configuration.encode_index(index)
+    place = configuration.INDEX_KIND, configuration.INDEX_NAME
+    return [*parts, interfaces.StoredObject(*place, settings.number, value)]
+
+
+def objects(size: Size) -> list[interfaces.StoredObject]:
+    """Return all platform objects of a deployment."""
+    shares = model.Shares(1, {name: 1.0 / size.domains for name in domain_names(size)}, version=1)
+    found = [records.stored(record) for record in (*groups(size), *views(size), shares)]
+    return [*found, *configuration_objects(make_configuration(size))]
+
+
+def fill(cache: directory.Directory, size: Size) -> directory.Directory:
+    """Apply all objects of a deployment to a directory and return it."""
+    cache.apply(objects(size))
+    return cache
--- /dev/null
+++ b/tools/slopes_processes.py
@@ -0,0 +1,237 @@
+"""Measurements with real sockets and, where both ends would blur the result, a second process."""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import multiprocessing
+import pathlib
+import time
+from collections.abc import AsyncIterator
+from multiprocessing import connection
+from typing import Any
+
+import aiohttp
+
+from currantlead import logs, timers
+from currantlead.connections import acknowledgement, endpoint
+from currantlead.control import coordinator, directory, instances, members, model, relay
+from currantlead.peers import network
+from currantlead.routing import placement
+from tests.standins import memory
+from tools import heartbeat_cost, measurements, sizes
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+_SETTLE_S = 1.0
+_WINDOW_S = 4.0
+
+
+@measurements.register(
+    "heartbeats",
+    x="members",
+    how="Heartbeats of one VM with the daemon's numbers over loopback; its peers run in another process.",
+)
+def measure_heartbeats() -> list[measurements.Point]:
+    """Vary the members of a view."""
+    points = []
+    for count in (8, 22, 43, 64, 86):
+        share, sent, received = asyncio.run(heartbeat_cost.measure_heartbeats(count, _WINDOW_S))
+        interval = members.LARGE_VIEW_HEARTBEAT_S if count > members.LARGE_VIEW else members.HEARTBEAT_S
+        frames = (count - 1) / interval
+        points.append({"x": frames, "members": count, "core": share, "sent": sent, "received": received})
+    return points
+
+
+async def _serve_receivers(count: int, pipe: connection.Connection) -> None:
+    arrived: list[float] = []
+    networks = [network.Network(f"domain-0-vm-{number:03}", "domain-0") for number in range(1, count)]
+
+    def take(vm: str, body: dict[str, Any]) -> dict[str, Any]:
+        arrived.append(time.monotonic())
+        return {}
+
+    for peers in networks:
+        await peers.start()
+        peers.handler("objects")(take)
+    pipe.send([peers.member for peers in networks])
+    await asyncio.to_thread(pipe.recv)
+    pipe.send(arrived)
+    for peers in networks:
+        await peers.stop()
+
+
+def _run_receivers(count: int, pipe: connection.Connection) -> None:
+    logs.configure(level="CRITICAL")
+    asyncio.run(_serve_receivers(count, pipe))
+
+
+def _with_rate(settings: model.Configuration, number: int) -> model.Configuration:
+    name = next(iter(settings.organisations))
+    changed = dataclasses.replace(settings.organisations[name], rate=500.0 + number)
+    return dataclasses.replace(settings, number=number, organisations={**settings.organisations, name: changed})
+
+
+async def _fan_out(count: int, changes: int = 10) -> measurements.Point:
+    pipe, other = multiprocessing.Pipe()
+    process = multiprocessing.get_context("spawn").Process(target=_run_receivers, args=(count, other), daemon=True)
+    process.start()
+    others = await asyncio.to_thread(pipe.recv)
+    peers = network.Network("domain-0-vm-000", "domain-0")
+    await peers.start()
+    cache = sizes.fill(directory.Directory(time.monotonic), sizes.TARGET)
+    part = relay.Relay(memory.MemoryPlatform(), cache, peers, timers.ManualTimers(), placement.rank)
+    peers.learn(others)
+    cache._records["views"] = {"domain-0": model.View("domain-0", 9, (peers.member, *others), None, 9)}
+    part._role.set()
+    for vm in others:
+        await peers.request(vm.vm, "objects", {}, timeout_s=5)
+    sent, spent, begun = peers.bytes_sent, 0.0, []
+    for number in range(2, 2 + changes):
+        known = set(cache.part_names())
+        found = sizes.configuration_objects(_with_rate(cache.configuration, number))
+        changed = cache.apply(each for each in found if each.name not in known)
+        begun.append(time.monotonic())
+        before = time.process_time()
+        part._push("configuration", changed, known)
+        await asyncio.sleep(0.05)
+        spent += time.process_time() - before
+    await asyncio.sleep(0.2)
+    pipe.send(None)
+    arrived = sorted(await asyncio.to_thread(pipe.recv))[count - 1 :]
+    await peers.stop()
+    await asyncio.to_thread(process.join, 10)
+    if len(arrived) != changes * (count - 1):
+        raise RuntimeError(f"{len(arrived)} frames arrived instead of {changes * (count - 1)}")
+    delays = [arrived[(each + 1) * (count - 1) - 1] - at for each, at in enumerate(begun)]
+    sent = (peers.bytes_sent - sent) / changes
+    return {"x": count, "seconds": spent / changes, "bytes": sent, "delay_s": max(delays)}
+
+
+@measurements.register(
+    "fan_out", x="members", how="A relay pushes a changed part and the index to its domain; receivers in a process."
+)
+def measure_fan_out() -> list[measurements.Point]:
+    """Vary the members of the relay's domain."""
+    return [asyncio.run(_fan_out(count)) for count in (8, 22, 43, 86)]
+
+
+class _Endpoint(asyncio.Protocol):
+    """Answer status and positions of any instance with little work, after the asked wait."""
+
+    def __init__(self, port: int):
+        self._port = port
+        self._transport: asyncio.Transport
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Answer one request; clients of this measurement send none ahead."""
+        path = data.split(b" ", 2)[1].decode()
+        _, _, wait = path.partition("timeout_s=")
+        asyncio.get_running_loop().call_later(float(wait or 0), self._answer)
+
+    def _answer(self) -> None:
+        name = f"database-0000-{self._port}"
+        body = {"instance": name, "group": "database-0000", "role": "replica", "term": 1, "index": 7, "leaving": False}
+        body |= {"received_index": 7, "received_term": 1, "applied_time": 1.0, "now": 1.0, "connections": 3}
+        text = json.dumps({**body, "primary_contact_age": 0.1}).encode()
+        head = f"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {len(text)}\r\n\r\n"
+        self._transport.write(head.encode() + text)
+
+
+async def _serve_endpoint(pipe: connection.Connection) -> None:
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(lambda: _Endpoint(0), "127.0.0.1", 0)
+    pipe.send(server.sockets[0].getsockname()[1])
+    await asyncio.to_thread(pipe.poll, 60)
+    server.close()
+
+
+def _run_endpoint(pipe: connection.Connection) -> None:
+    asyncio.run(_serve_endpoint(pipe))
+
+
+@contextlib.asynccontextmanager
+async def _endpoint() -> AsyncIterator[str]:
+    pipe, other = multiprocessing.Pipe()
+    process = multiprocessing.get_context("spawn").Process(target=_run_endpoint, args=(other,), daemon=True)
+    process.start()
+    port = await asyncio.to_thread(pipe.recv)
+    try:
+        yield f"http://127.0.0.1:{port}"
+    finally:
+        pipe.send(None)
+        await asyncio.to_thread(process.join, 10)
+
+
+async def _window(seconds: float = _WINDOW_S) -> float:
+    await asyncio.sleep(_SETTLE_S)
+    start, spent = time.perf_counter(), time.process_time()
+    await asyncio.sleep(seconds)
+    return (time.process_time() - spent) / (time.perf_counter() - start)
+
+
+async def _poll_positions(count: int) -> float:
+    async with _endpoint() as url:
+        trackers = []
+        for number in range(count):
+            name = f"database-{number:04}"
+            rows = tuple(model.Instance(f"{name}-{place}", url, "domain-0") for place in range(3))
+            group = model.Group(name, 1, model.Phase.STABLE, rows[0].name, rows, {1: 0}, 1)
+            replicas = {each.name: endpoint.Endpoint.from_instance(each, sender="vm") for each in rows[1:]}
+            trackers.append((acknowledgement.Tracker(group, replicas), replicas))
+            trackers[-1][0].start()
+        share = await _window()
+        for tracker, replicas in trackers:
+            await tracker.stop()
+            for replica in replicas.values():
+                await replica.close()
+    return share
+
+
+@measurements.register(
+    "position_polls", x="primaries held", how="acknowledgement.Tracker of two replicas each, while nothing is written."
+)
+def measure_positions() -> list[measurements.Point]:
+    """Vary the held primaries."""
+    return [{"x": count, "core": asyncio.run(_poll_positions(count))} for count in (0, 4, 8, 16)]
+
+
+async def _poll_status(count: int) -> float:
+    size = dataclasses.replace(sizes.TARGET, vms=7)
+    async with _endpoint() as url, aiohttp.ClientSession() as session:
+        clock = timers.TimerService()
+        clock.start()
+        cache = sizes.fill(directory.Directory(clock.now), dataclasses.replace(size, databases=0))
+        name = "database-0000"
+        rows = tuple(model.Instance(f"{name}-0", url, f"domain-{place}") for place in range(3))
+        group = model.Group(name, 1, model.Phase.STABLE, rows[0].name, rows, {1: 0}, 1)
+        cache._records["groups"] = {f"database-{n:04}": dataclasses.replace(group) for n in range(count)}
+        part = coordinator.Coordinator(
+            platform=memory.MemoryPlatform(),
+            peers=memory.Network().join("domain-0-vm-000", "domain-0"),
+            directory=cache,
+            client=instances.HttpInstances(session),
+            clock=clock,
+            rank=placement.rank,
+            on_group=lambda changed: None,
+        )
+        # Every group counts as monitored in the first place: one poll of the primary every 0.5 s.
+        part._places = dict.fromkeys(cache.groups, 0)
+        part.start()
+        share = await _window()
+        await part.stop()
+        await clock.stop()
+    return share
+
+
+@measurements.register(
+    "status_polls",
+    x="groups monitored first",
+    how="Coordinator with HttpInstances: 2 polls/s of the primary and 2 replicas every 3 s for each group.",
+)
+def measure_status() -> list[measurements.Point]:
+    """Vary the monitored groups."""
+    return [{"x": count, "core": asyncio.run(_poll_status(count))} for count in (0, 4, 8, 16)]
