Acknowledge writes under way when a planned change begins

Cause: test_drained_primary_is_replaced_without_a_cut failed once on a loaded machine with a write answered "may have run". A holder stopped the tracker of the old term as soon as the group's record said electing, so writes that waited for a replica were failed although the coordinator still gave them time. Ruled out: a lost answer of the instance.

Change: a dropped tracker goes on for up to 1 s while writes wait. Replicas report the old term until they are told the new one, so an acknowledged write is held by a majority that accepts the new term only afterwards.

--- a/src/currantlead/connections/acknowledgement.py
+++ b/src/currantlead/connections/acknowledgement.py
@@ -62,6 +62,12 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    async def drain(self, *, timeout_s: float) -> None:
+        """Wait until no write waits any more; those that wait go on to be acknowledged in this term."""
+        waiting = [waiter for _, _, waiter in self._waiting]
+        if waiting:
+            await asyncio.wait(waiting, timeout=timeout_s)
+
     async def reachable(self, *, timeout_s: float) -> bool:
         """Tell whether a majority, the primary included, was reachable in this term a moment ago.
 
--- a/src/currantlead/connections/places.py
+++ b/src/currantlead/connections/places.py
@@ -11,6 +11,8 @@
 SWEEP_S = 0.1
 # All groups are looked through less often than the held ones, because there may be hundreds.
 SCAN_S = 2.0
+# A planned change waits up to 0.5 s for writes under way before it tells the instances the new term.
+RETIRE_S = 1.0
 
 _log = logs.part("holder")
 
@@ -188,6 +190,8 @@
 
 
 async def _stop_tracker(tracker: acknowledgement.Tracker, clients: list[endpoint.Endpoint]) -> None:
+    # A planned change lets writes under way finish: replicas still report the old term until they are told the new one.
+    await tracker.drain(timeout_s=RETIRE_S)
     await tracker.stop()
     for client in clients:
         await client.close()
--- a/tests/test_holder.py
+++ b/tests/test_holder.py
@@ -312,3 +312,14 @@
         outcome = await running.holder.execute(calls.insert(timeout_s=2.0))
         assert outcome.err_value.verdict is MAY_HAVE_RUN
         assert ("ledger", "ledger-a", 1) in running.silent
+
+
+async def test_write_under_way_is_acknowledged_when_a_planned_change_begins(cluster):
+    """A write that waits for a replica while a planned change starts is not answered as doubtful."""
+    for name in ("ledger-b", "ledger-c"):
+        await fakes.control(cluster.instances[name].url, receive_lag_s=0.2)
+    writing = asyncio.ensure_future(cluster.holder.execute(calls.insert()))
+    await asyncio.sleep(0.1)
+    assert not writing.done()
+    cluster.directory.set_group(term=2, phase=model.Phase.ELECTING)
+    assert (await writing).is_ok()
