Stop repeating a busy request while its refusal is still certain

Cause: a holder repeated a request that an instance refused as busy until 0.02 s before the sender's limit. The instance waits 0.1 s for its lock, so the last repeat was cut off, and a write that never ran was answered with "may have run". It was seen with a transaction that its caller abandoned.

The stand-in endpoint can print the requests that it receives, so that a run's logs are searched for keys.

--- a/src/currantlead/connections/turns.py
+++ b/src/currantlead/connections/turns.py
@@ -12,9 +12,12 @@
 BUSY_PAUSE_S = 0.02
 # An instance that cannot be reached is tried again for this long only: long enough to replace a closed connection,
 # short enough that the proxy can turn to another instance or wait for a promotion.
+UNREACHABLE_REPEAT_S = 0.1
 # A replica confirms that it has lost its primary after 1 s, so an earlier report would find no evidence.
 UNACKNOWLEDGED_S = 1.0
-UNREACHABLE_REPEAT_S = 0.1
+# An instance waits 0.1 s before it refuses as busy. A repeat that is cut off sooner may have run, although the refusal
+# before it says for certain that the request has not run.
+REPEAT_TIME_S = 0.25
 
 Outcome = result.Result[endpoint.Reply, verdict.Refusal]
 Send = Callable[[endpoint.Connection], Awaitable[Outcome]]
@@ -192,7 +195,7 @@
             finally:
                 held.leave()
             waited_s = self._clock.now() - started
-            if outcome.is_ok() or not _may_repeat(outcome.err_value, waited_s) or self.left(deadline) <= BUSY_PAUSE_S:
+            if outcome.is_ok() or not _may_repeat(outcome.err_value, waited_s) or self.left(deadline) <= REPEAT_TIME_S:
                 return outcome
             await asyncio.sleep(BUSY_PAUSE_S)
 
--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -205,3 +205,45 @@
             for sql in workload.Workload("thessaly", [database]).schema:
                 told = await session.send(load.Operation(database, sql, [], write=True), attempts=20)
                 assert told.verdict == load.COMPLETED, (told.verdict, told.reason)
+
+
+@dataclasses.dataclass(slots=True)
+class Caller:
+    """Send single requests of one organisation and return status and body."""
+
+    http: aiohttp.ClientSession
+    key: str
+
+    async def post(self, url: str, path: str, body: dict[str, Any] | None = None) -> tuple[int, dict[str, Any]]:
+        """Send a request to a VM; status 0 stands for no answer."""
+        headers = {"Authorization": f"Bearer {self.key}"}
+        try:
+            async with self.http.post(
+                f"{url}/v1/{path}", json=body, headers=headers, timeout=aiohttp.ClientTimeout(total=15.0)
+            ) as answer:
+                return answer.status, await answer.json(content_type=None)
+        except (aiohttp.ClientError, TimeoutError) as error:
+            return 0, {"verdict": "none", "reason": type(error).__name__}
+
+    async def statement(self, url: str, operation: load.Operation) -> tuple[int, dict[str, Any]]:
+        """Send a statement outside a transaction."""
+        body = {"sql": operation.sql, "params": operation.params, "access": "write" if operation.write else "read"}
+        return await self.post(url, f"databases/{operation.database}/statements", body)
+
+    async def begin(self, url: str) -> str:
+        """Begin a transaction, also if another one is open for a moment."""
+        for _ in range(50):
+            status, body = await self.post(url, f"databases/{DATABASE}/transactions")
+            if status == 200:
+                return body["transaction"]
+            await asyncio.sleep(POLL_S)
+        raise AssertionError(f"no transaction: {body}")
+
+    async def transact(self, url: str, transaction: str, operation: load.Operation) -> tuple[int, dict[str, Any]]:
+        """Send a statement of a transaction."""
+        body = {"sql": operation.sql, "params": operation.params, "access": "write"}
+        return await self.post(url, f"transactions/{transaction}/statements", body)
+
+    async def finish(self, url: str, transaction: str, how: str = "commit") -> tuple[int, dict[str, Any]]:
+        """Commit or roll back."""
+        return await self.post(url, f"transactions/{transaction}/{how}")
--- a/tests/standins/endpoint.py
+++ b/tests/standins/endpoint.py
@@ -52,8 +52,9 @@
 class Instance:
     """Serve one endpoint instance."""
 
-    def __init__(self, name: str, group: str, *, data: str | None = None, **limits: Any):
+    def __init__(self, name: str, group: str, *, data: str | None = None, print_requests: bool = False, **limits: Any):
         self.name, self.group = name, group
+        self._print_requests = print_requests
         self.controls = controls.Controls(**limits)
         self.replica = replication.Replica(name, database.Log(data), self.controls, self._reset_sessions)
         self.counts = {"statements": 0, "most_running": 0, "most_connections": 0}
@@ -105,6 +106,8 @@
         status = 200
         try:
             body = await request.json() if request.method == "POST" else dict(request.query)
+            if self._print_requests:
+                print(json.dumps([request.method, request.path_qs, list(request.headers.items()), body]), flush=True)
             answer = await route(body, request)
         except controls.FaultError as fault:
             status, answer = fault.status, fault.body
@@ -353,6 +356,7 @@
     parser.add_argument("--statement-time", dest="statement_s", type=float, default=0.0)
     parser.add_argument("--lag", dest="lag_s", type=float, default=0.0)
     parser.add_argument("--receive-lag", dest="receive_lag_s", type=float, default=0.0)
+    parser.add_argument("--print-requests", action="store_true", help="print each request with its headers")
     asyncio.run(_serve(vars(parser.parse_args())))
 
 
--- a/tests/test_holder.py
+++ b/tests/test_holder.py
@@ -312,3 +312,12 @@
         outcome = await running.holder.execute(calls.insert(timeout_s=2.0))
         assert outcome.err_value.verdict is MAY_HAVE_RUN
         assert ("ledger", "ledger-a", 1) in running.silent
+
+
+@pytest.mark.parametrize("timeout_s", [0.6, 0.63, 0.66, 0.69])
+async def test_write_that_only_found_a_lock_is_not_run(cluster, timeout_s):
+    """Guards against a last repeat that is cut off at the sender's limit and makes a certain refusal uncertain."""
+    begun = await calls.begin(cluster, caller=calls.MILL)
+    assert begun.is_ok()
+    outcome = await cluster.holder.execute(calls.insert(timeout_s=timeout_s))
+    assert outcome.err_value.verdict is NOT_RUN
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -93,13 +93,21 @@
 class Cluster:
     """Start, change and stop the processes of a deployment; use it as a context manager."""
 
-    def __init__(self, deployment: deployments.Deployment, *, logs: pathlib.Path | None = None, vm_flags: tuple = ()):
+    def __init__(
+        self,
+        deployment: deployments.Deployment,
+        *,
+        logs: pathlib.Path | None = None,
+        vm_flags: tuple = (),
+        endpoint_flags: tuple = (),
+    ):
         """Create a cluster; nothing starts before the context is entered.
 
         Args:
             deployment: Places and sizes.
             logs: Folder for the processes' logs; a temporary one if None.
             vm_flags: Further flags for each VM.
+            endpoint_flags: Further flags for each instance.
         """
         self.deployment = deployment
         self.operator_key = secrets.token_hex(16)
@@ -108,6 +116,7 @@
         self.endpoints: dict[str, Process] = {}
         self.vms: dict[str, Process] = {}
         self._vm_flags = vm_flags
+        self._endpoint_flags = endpoint_flags
         self._stack = contextlib.ExitStack()
         self._folder = pathlib.Path(self._stack.enter_context(tempfile.TemporaryDirectory(prefix="currantlead-")))
         self.logs = logs or self._folder
@@ -156,6 +165,7 @@
                     *("--name", name, "--group", database, "--port", "0"),
                     *("--connections", size.connections, "--connect-time", size.connect_time_s),
                     *("--slots", size.slots, "--statement-time", size.statement_time_s),
+                    *self._endpoint_flags,
                 )
         for process in self.endpoints.values():
             self._await_port(process)
