--- a/tests/test_holder.py
+++ b/tests/test_holder.py
@@ -323,3 +323,12 @@
     assert not writing.done()
     cluster.directory.set_group(term=2, phase=model.Phase.ELECTING)
     assert (await writing).is_ok()
+
+
+@pytest.mark.parametrize("timeout_s", [0.6, 0.63, 0.66, 0.69])
+async def test_write_that_only_found_a_lock_is_not_run(cluster, timeout_s):
+    """Guards against a last repeat that is cut off at the sender's limit and makes a certain refusal uncertain."""
+    begun = await calls.begin(cluster, caller=calls.MILL)
+    assert begun.is_ok()
+    outcome = await cluster.holder.execute(calls.insert(timeout_s=timeout_s))
+    assert outcome.err_value.verdict is NOT_RUN
