Test that keys never leave the border, and repeat no name in a refusal

Cause: no test sent keys through the whole path. A key in the place of an open route's name was repeated in the answer and in the proxy's log line; an unknown database was repeated in the same way.

Change: these refusals no longer repeat the caller's text. A table puts the key in 37 places (headers, path, query, body, SQL, parameters, idempotency key, session token, transaction id) and sends it through the real border and proxy; frames, work, log lines at DEBUG, answers and metrics must not hold it.

--- a/src/currantlead/routing/proxy.py
+++ b/src/currantlead/routing/proxy.py
@@ -135,7 +135,7 @@
             # The caller writes the text of a transaction id, and its database becomes part of the session token.
             if not request.database:
                 return transactions.unknown()
-            return verdict.Refusal(verdict.Reason.UNKNOWN_DATABASE, detail=f"no database {database!r}")
+            return verdict.Refusal(verdict.Reason.UNKNOWN_DATABASE, detail="there is no such database")
         if not self._keys.may_use(organisation, database):
             return verdict.Refusal(verdict.Reason.NOT_GRANTED, detail=f"{organisation} may not use {database!r}")
         return None
@@ -143,7 +143,7 @@
     async def _serve_open(self, request: interfaces.CallerRequest) -> interfaces.Outcome:
         route = self._directory.configuration.routes.get(request.route)
         if route is None:
-            return result.Err(verdict.Refusal(verdict.Reason.UNKNOWN_DATABASE, detail=f"no route {request.route!r}"))
+            return result.Err(verdict.Refusal(verdict.Reason.UNKNOWN_DATABASE, detail="there is no such open route"))
         statement = messages.Statement(
             request.request,
             route.database,
--- /dev/null
+++ b/tests/test_key_places.py
@@ -0,0 +1,155 @@
+"""Keys stay in the border, wherever a caller puts one."""
+
+import asyncio
+import http.client
+import json
+import threading
+import urllib.parse
+
+import loguru
+import prometheus_client
+import pytest
+from cherrypy import _cptree
+
+from currantlead.border import server
+from currantlead.identity import keys
+from currantlead.peers import frames
+from tests.standins import routes
+
+KEY = "caller-key-3f9a27c1d5"
+AUTHORIZED = {"Authorization": f"Bearer {KEY}"}
+STATEMENTS = "/v1/databases/ledger/statements"
+QUOTED = urllib.parse.quote(KEY, safe="")
+ENCODED = "".join(f"%{ord(each):02x}" for each in KEY)
+
+
+class Recorder(routes.Script):
+    """Note each frame to another VM as the bytes of the stream."""
+
+    def __init__(self, script):
+        super().__init__()
+        self.member, self.seen = script.member, []
+
+    async def request(self, vm, kind, body, *, timeout_s):
+        """Encode the frame as the stream does, then answer."""
+        self.seen.append(bytes(frames.encode(kind, 1, 1, body)))
+        return await super().request(vm, kind, body, timeout_s=timeout_s)
+
+    async def _step(self, vm, work):
+        self.seen.append(repr(work).encode())
+        return await super()._step(vm, work)
+
+
+@pytest.fixture(scope="module")
+def entry():
+    """Run the real border and proxy over a recording fake of peers and holders."""
+    loop = asyncio.new_event_loop()
+    thread = threading.Thread(target=loop.run_forever)
+    thread.start()
+
+    async def build():
+        world = routes.World()
+        world.grant(keys={"main": keys.digest(KEY)})
+        recorder = Recorder(world.script)
+        world.dispatcher._peers = world.dispatcher._holder = recorder
+        # The holder of the second half of the instances is this VM itself.
+        world.membership.table["ledger-b"] = ("vm-1",)
+        return world, recorder
+
+    world, recorder = asyncio.run_coroutine_threadsafe(build(), loop).result(5)
+    border = server.Border(world.proxy, server.run_on(loop), tree=_cptree.Tree(), threads=4, client_timeout_s=0.5)
+    border.start()
+    border.ready()
+    lines = []
+    sink = loguru.logger.add(lambda line: lines.append(line), level="DEBUG", format="{message} {extra} {exception}")
+    yield border, recorder, lines
+    loguru.logger.remove(sink)
+    border.stop()
+    loop.call_soon_threadsafe(loop.stop)
+    thread.join()
+    loop.close()
+
+
+def body(**fields):
+    """Return the body of a statement."""
+    return json.dumps({"sql": "select 1", **fields})
+
+
+# Method, path, body and headers. With the key in Authorization as well, a misplaced copy must be refused; without it,
+# the border cannot know that the text is a key, and nothing but the caller's own SQL and parameters may carry it on.
+PLACES = {
+    "bearer": ("POST", STATEMENTS, body(), AUTHORIZED),
+    "lower-case scheme": ("POST", STATEMENTS, body(), {"authorization": f"bearer {KEY}"}),
+    "write": ("POST", STATEMENTS, body(access="write"), AUTHORIZED),
+    "begin": ("POST", "/v1/databases/ledger/transactions", "", AUTHORIZED),
+    "commit": ("POST", "/v1/transactions/ledger.vm-a.7.1.x/commit", "", AUTHORIZED),
+    "basic": ("POST", STATEMENTS, body(), {"Authorization": f"Basic {KEY}"}),
+    "no scheme": ("POST", STATEMENTS, body(), {"Authorization": KEY}),
+    "two keys": ("POST", STATEMENTS, body(), {"Authorization": f"Bearer {KEY} {KEY}"}),
+    "other header": ("POST", STATEMENTS, body(), {**AUTHORIZED, "X-Api-Key": KEY, "Cookie": f"key={KEY}"}),
+    "header name": ("POST", STATEMENTS, body(), {**AUTHORIZED, KEY: "1"}),
+    "agent": ("POST", STATEMENTS, body(), {**AUTHORIZED, "User-Agent": KEY, "Referer": KEY, "X-Forwarded-For": KEY}),
+    "query": ("POST", f"{STATEMENTS}?key={KEY}", body(), AUTHORIZED),
+    "query only": ("POST", f"{STATEMENTS}?access_token={KEY}", body(), {}),
+    "database": ("POST", f"/v1/databases/{KEY}/statements", body(), AUTHORIZED),
+    "quoted database": ("POST", f"/v1/databases/{ENCODED}/statements", body(), AUTHORIZED),
+    "path": ("POST", f"/{KEY}", body(), AUTHORIZED),
+    "route": ("GET", f"/v1/open/{KEY}", None, {}),
+    "route with key": ("GET", f"/v1/open/{KEY}", None, AUTHORIZED),
+    "transaction": ("POST", f"/v1/transactions/{KEY}/commit", "", AUTHORIZED),
+    "in transaction": ("POST", f"/v1/transactions/ledger.vm-a.7.1.{KEY}/commit", "", AUTHORIZED),
+    "as vm": ("POST", f"/v1/transactions/ledger.{KEY}.7.1.x/statements", body(), AUTHORIZED),
+    "method": (KEY.upper(), STATEMENTS, body(), AUTHORIZED),
+    "sql": ("POST", STATEMENTS, body(sql=f"select '{KEY}'"), AUTHORIZED),
+    "parameter": ("POST", STATEMENTS, body(params=[1, f"x{KEY}y"]), AUTHORIZED),
+    "access": ("POST", STATEMENTS, body(access=KEY), AUTHORIZED),
+    "age": ("POST", STATEMENTS, body(max_age_ms=KEY), AUTHORIZED),
+    "field": ("POST", STATEMENTS, json.dumps({"sql": "s", KEY: 1}), AUTHORIZED),
+    "nested": ("POST", STATEMENTS, body(params=[{KEY: KEY}]), AUTHORIZED),
+    "not json": ("POST", STATEMENTS, KEY, AUTHORIZED),
+    "idempotency key": ("POST", STATEMENTS, body(access="write"), {**AUTHORIZED, "Idempotency-Key": KEY}),
+    "in idempotency key": ("POST", STATEMENTS, body(access="write"), {**AUTHORIZED, "Idempotency-Key": f"a{KEY}"}),
+    "session": ("POST", STATEMENTS, body(), {**AUTHORIZED, "Currantlead-Session": KEY}),
+    "session entry": ("POST", STATEMENTS, body(), {**AUTHORIZED, "Currantlead-Session": f"v1:{KEY}.1.1"}),
+    "session, no key": ("POST", STATEMENTS, body(), {"Currantlead-Session": f"v1:{KEY}"}),
+    "length": ("POST", STATEMENTS, None, {**AUTHORIZED, "Content-Length": KEY}),
+    "encoding": ("POST", STATEMENTS, None, {**AUTHORIZED, "Transfer-Encoding": KEY}),
+    "unknown key": ("POST", STATEMENTS, body(), {"Authorization": f"Bearer {KEY}x"}),
+}
+RUNS = {"bearer", "lower-case scheme", "write", "begin", "commit", "other header", "header name", "agent", "query"}
+
+
+def send(border, method, path, content, headers):
+    """Send one request; return the status and the whole answer as text."""
+    connection = http.client.HTTPConnection(*border.address, timeout=5)
+    try:
+        connection.request(method, path, content, headers)
+        answer = connection.getresponse()
+        return answer.status, f"{answer.reason} {answer.headers} {answer.read().decode()}"
+    finally:
+        connection.close()
+
+
+@pytest.mark.parametrize("place", PLACES)
+def test_key_stays_in_the_border(entry, place):
+    """Guards against a key in a frame, a statement, a log line, an error text or a metric (P5)."""
+    border, recorder, lines = entry
+    recorder.seen.clear()
+    lines.clear()
+    status, text = send(border, *PLACES[place])
+    metrics = send(border, "GET", "/metrics", None, {})[1]
+    metrics += prometheus_client.generate_latest(prometheus_client.REGISTRY).decode()
+    assert (status == 200) == (place in RUNS), text
+    assert bool(recorder.seen) == (place in RUNS)
+    for where, found in {"answer": text, "metrics": metrics, "logs": "".join(lines), "frames": recorder.seen}.items():
+        for form in (KEY, KEY.upper(), ENCODED):
+            assert form not in str(found), f"{where} hold the key"
+
+
+def test_recording_sees_frames_and_logs(entry):
+    """Guards against a recording that is empty for another reason: the digest travels, and lines are captured."""
+    border, recorder, lines = entry
+    recorder.seen.clear()
+    lines.clear()
+    assert send(border, *PLACES["write"])[0] == 200
+    assert keys.digest(KEY) in str(recorder.seen) and "goes to holder" in "".join(lines)
