Repair the operators' node: leases, silent domains, unknown outcomes

Cause: found by running the commands on a deployment and by contract tests. - `show leases` failed with an AttributeError on every VM. - While one domain gave no answer, the numbers of the others were asked for only every 2 s, so VMs of a healthy domain were listed as pending. - A VM that had left another domain's view stayed pending for ever. - The console called every error "refused", also a change whose answer was lost and that may be stored.

Change: the lease is read where it is kept. Each domain is asked in its own loop, and its answer replaces its former rows. Answers on the operator port carry `accepted`: false for a refusal, null where the outcome is unknown; the console prints "refused" only for false and "failed" otherwise. New tests drive nodes of five VMs in three domains, with cut and silent domains, lost answers and racing operators.

--- a/src/currantlead/border/server.py
+++ b/src/currantlead/border/server.py
@@ -260,11 +260,16 @@
         except pydantic.ValidationError as error:
             return "400 Bad Request", {"error": models.describe(error)}
         except errors.CommandError as error:
-            return "400 Bad Request", {"error": str(error), "line": error.line, "column": error.column}
+            return "400 Bad Request", {
+                "accepted": False,
+                "error": str(error),
+                "line": error.line,
+                "column": error.column,
+            }
         except errors.VersionConflictError as error:
-            return "409 Conflict", {"error": str(error)}
+            return "409 Conflict", {"accepted": False, "error": str(error)}
         except errors.PlatformUnavailableError as error:
-            return "503 Service Unavailable", {"error": str(error)}
+            return "503 Service Unavailable", {"accepted": None, "error": str(error)}
         except Exception as error:
             _log.opt(exception=error).error("command failed")
             return "500 Internal Server Error", {"error": f"command failed: {type(error).__name__}"}
--- a/src/currantlead/control/members.py
+++ b/src/currantlead/control/members.py
@@ -67,7 +67,7 @@
 
     def lease_left_s(self) -> float:
         """Return the seconds that this VM's lease still holds; 0 if it does not."""
-        return max(0.0, self._lease.expires - self._clock.now())
+        return max(0.0, self._standing.lease.expires - self._clock.now())
 
     def owns(self, organisation: str) -> bool:
         """Tell whether this VM is the active rate owner of the organisation in its own domain, lease included."""
--- a/src/currantlead/operators/console.py
+++ b/src/currantlead/operators/console.py
@@ -76,7 +76,9 @@
         console.print(json.dumps(answer), soft_wrap=True, markup=False, highlight=False)
         return code
     if code == REFUSED:
-        console.print(f"refused: {answer['error']}", markup=False, highlight=False)
+        # Without an answer a change may have been stored, so only a stated refusal is called one.
+        word = "refused" if answer.get("accepted") is False else "failed"
+        console.print(f"{word}: {answer['error']}", markup=False, highlight=False)
         return code
     for table in answer.get("tables") or [answer]:
         if table.get("columns"):
--- a/src/currantlead/operators/executor.py
+++ b/src/currantlead/operators/executor.py
@@ -154,5 +154,5 @@
     if isinstance(error, errors.CommandError):
         body |= {"line": error.line, "column": error.column}
     if isinstance(error, errors.PlatformUnavailableError):
-        body |= {"accepted": None, "error": f"the platform gave no answer, the change may have been stored: {error}"}
+        body["accepted"] = None
     return body
--- a/src/currantlead/operators/node.py
+++ b/src/currantlead/operators/node.py
@@ -78,11 +78,13 @@
             errors.PlatformUnavailableError: It is not known whether the change was stored.
         """
         await self._refresh()
-        refreshing = asyncio.ensure_future(self._keep_fresh())
+        # Each domain by itself: one that gives no answer must not let the numbers of the others grow old.
+        refreshing = [asyncio.ensure_future(self._keep_fresh(domain)) for domain in self._other_domains()]
         try:
             return (await self._executor.run(text)).to_map()
         finally:
-            refreshing.cancel()
+            for task in refreshing:
+                task.cancel()
 
     def numbers(self) -> Mapping[str, queries.VmNumbers]:
         """Return the numbers of all known VMs, this one included, by VM."""
@@ -143,25 +145,29 @@
     async def _answer_status(self, vm: str, body: dict[str, Any]) -> dict[str, Any]:
         return {"vms": [dataclasses.astuple(numbers) for numbers in self._local_numbers().values()]}
 
-    async def _keep_fresh(self) -> None:
+    async def _keep_fresh(self, domain: str) -> None:
         while True:
             await asyncio.sleep(REFRESH_S)
-            await self._refresh()
+            await self._ask(domain)
 
     async def _refresh(self) -> None:
         """Ask one VM of each other domain for the numbers of its domain."""
-        own = self._parts.peers.member
-        asked = [self._ask(domain) for domain in self.directory.views if domain != own.domain]
-        await asyncio.gather(*asked)
+        await asyncio.gather(*(self._ask(domain) for domain in self._other_domains()))
+
+    def _other_domains(self) -> list[str]:
+        return [domain for domain in self.directory.views if domain != self._parts.peers.member.domain]
 
     async def _ask(self, domain: str) -> None:
-        for member in self.directory.views[domain].members:
+        view = self.directory.views.get(domain)
+        for member in view.members if view is not None else ():
             try:
                 reply = await self._parts.peers.request(member.vm, STATUS_KIND, {}, timeout_s=STATUS_TIMEOUT_S)
                 rows = [queries.VmNumbers(*row) for row in reply["vms"]]
             except (errors.PeerUnreachableError, errors.PeerAnswerLostError, KeyError, TypeError):
                 continue
-            self._remote |= {row.vm: row for row in rows}
+            # A VM that left its domain's view would be named as pending for ever.
+            kept = {vm: row for vm, row in self._remote.items() if row.domain != domain}
+            self._remote = kept | {row.vm: row for row in rows if row.domain == domain}
             return
 
     async def _change(self, mutate: executor.Mutate, change_id: str) -> int:
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,194 @@
+"""Contracts of the operators' node: numbers of all domains, pending VMs, lost answers and races."""
+
+import asyncio
+import contextlib
+import types
+
+import pytest
+import rich.console
+
+from currantlead import errors
+from currantlead.control import directory, model, records, store
+from currantlead.operators import console, node
+from tests import rates
+from tests.standins import memory
+
+DOMAINS = {"north": ("n1", "n2"), "south": ("s1", "s2"), "west": ("w1",)}
+
+
+class World:
+    """Hold one node for each VM over a shared platform; each VM follows it every 0.4 s unless it is cut off."""
+
+    def __init__(self):
+        self.platform, self.network = memory.MemoryPlatform(), memory.Network()
+        self.views = [model.View(d, 1, tuple(model.Member(vm, d, 1, "") for vm in vms)) for d, vms in DOMAINS.items()]
+        now = asyncio.get_running_loop().time
+        self.directories, self.nodes, self.silent = {}, {}, set()
+        for domain, vms in DOMAINS.items():
+            for vm in vms:
+                known = self.directories[vm] = directory.Directory(now)
+                known.apply(records.stored(view) for view in self.views)
+                peers = self.network.join(vm, domain)
+                peers.request = self._slow(peers)
+                parts = (known, self._members(vm, domain), None, None, peers, store.Store(self.platform, now))
+                self.nodes[vm] = node.Node(node.Parts(*parts, clock=rates.LoopTimers()))
+
+    def _slow(self, peers):
+        request = peers.request
+
+        async def send(vm, kind, body, *, timeout_s):
+            if vm in self.silent:
+                await asyncio.sleep(timeout_s)
+                raise errors.PeerAnswerLostError(vm)
+            return await request(vm, kind, body, timeout_s=timeout_s)
+
+        return send
+
+    def _members(self, vm, domain):
+        def numbers(other):
+            known = self.directories[other].configuration.number
+            return {"state": {"configuration": known, "age_s": None, "sums": {}}, "shares": 1}
+
+        view = next(view for view in self.views if view.domain == domain)
+        return types.SimpleNamespace(
+            view=view, numbers=numbers, alive=lambda vm: True, lease_valid=lambda: True, lease_left_s=lambda: 3.0
+        )
+
+    async def follow(self):
+        """Bring the stored configuration to all VMs that are not cut off."""
+        while True:
+            await asyncio.sleep(0.4)
+            objects = [each for kind in ("parts", "configuration") for each in self._stored(kind)]
+            for vm, known in self.directories.items():
+                if vm not in self.network.cut | self.silent:
+                    known.apply(objects)
+
+    def _stored(self, kind):
+        return list(self.platform.objects.get(kind, {}).values())
+
+
+def run(scenario):
+    """Run a scenario with a world whose VMs follow the configuration."""
+
+    async def whole():
+        world = World()
+        following = asyncio.ensure_future(world.follow())
+        try:
+            await scenario(world)
+        finally:
+            following.cancel()
+
+    rates.run(whole())
+
+
+def vms(entries):
+    """Return the names in a list of VMs."""
+    return sorted(entry["vm"] for entry in entries)
+
+
+@pytest.mark.parametrize("fault", ["cut", "silent"])
+def test_cut_domain_is_named_and_others_are_in_force(fault):
+    """Guards against a cut domain that is hidden, or whose silence lets other domains look pending."""
+
+    async def scenario(world):
+        report = await world.nodes["n1"].command("add domain north region r")
+        assert (len(report["in_force"]), report["pending"]) == (5, [])
+        getattr(world.network if fault == "cut" else world, fault).update(DOMAINS["south"])
+        report = await world.nodes["n1"].command("add domain south region r")
+        assert vms(report["in_force"]) == ["n1", "n2", "w1"]
+        assert report["pending"] == [{"vm": vm, "domain": "south"} for vm in DOMAINS["south"]]
+
+    run(scenario)
+
+
+def test_numbers_come_from_any_vm_of_a_domain_and_departed_vms_are_forgotten():
+    """Guards against a domain that looks cut off with its first VM, and a VM that is pending after it left."""
+
+    async def scenario(world):
+        await world.nodes["n1"].command("add domain north region r")
+        world.network.cut.add("s1")
+        report = await world.nodes["n1"].command("add domain south region r")
+        assert vms(report["in_force"]) == ["n1", "n2", "s2", "w1"] and vms(report["pending"]) == ["s1"]
+        left = model.View("south", 2, (model.Member("s2", "south", 1, ""),), version=2)
+        for known in world.directories.values():
+            known.apply([records.stored(left)])
+        world.nodes["s2"]._parts.members.view = left
+        report = await world.nodes["n1"].command("add domain west region r")
+        assert report["pending"] == []
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    ("faults", "down", "text"),
+    [([None] * 6 + ["lost"], False, None), ([], True, "nothing was changed")],
+)
+def test_lost_answer_is_no_refusal(faults, down, text):
+    """Guards against a stored change that is reported as refused, and an outage that is reported as a refusal."""
+
+    async def scenario(world):
+        world.platform.faults.extend(faults)
+        await world.platform.set_down(down)
+        if text is None:
+            assert (await world.nodes["n1"].command("add domain north region r"))["number"] == 1
+        else:
+            with pytest.raises(errors.PlatformUnavailableError, match=text):
+                await world.nodes["n1"].command("add domain north region r")
+
+    run(scenario)
+
+
+def test_change_whose_fate_is_unknown_says_so():
+    """Guards against "nothing was changed" after a write whose answer was lost before the platform went down."""
+
+    async def scenario(world):
+        write = world.platform.write
+
+        async def last_write(kind, name, value, *, if_version):
+            version = await write(kind, name, value, if_version=if_version)
+            if kind == "configuration":
+                world.platform.down = True
+                raise errors.PlatformUnavailableError("answer lost")
+            return version
+
+        world.platform.write = last_write
+        with pytest.raises(errors.PlatformUnavailableError, match="may be stored"):
+            await world.nodes["n1"].command("add domain north region r")
+
+    run(scenario)
+
+
+def test_racing_operators():
+    """Guards against a change that is overwritten: one that no longer applies gets a conflict with the number."""
+
+    async def scenario(world):
+        texts = ("add domain a region r", "add domain a region other", "add domain b region r")
+        at = ("n1", "s1", "w1")
+        found = await asyncio.gather(
+            *(world.nodes[vm].command(text) for vm, text in zip(at, texts, strict=True)), return_exceptions=True
+        )
+        accepted = [each["number"] for each in found if isinstance(each, dict)]
+        conflicts = [each for each in found if isinstance(each, errors.VersionConflictError)]
+        assert sorted(accepted) == [1, 2] and len(conflicts) == 1
+        assert "the current number is" in str(conflicts[0]) and "exists already" in str(conflicts[0])
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(("accepted", "word"), [(False, "refused"), (None, "failed")])
+def test_console_calls_only_a_refusal_refused(accepted, word):
+    """Guards against an operator who repeats a change as "refused" that was stored."""
+    printer = rich.console.Console(record=True, quiet=False, width=200, file=open("/dev/null", "w"))  # noqa: SIM115
+    with contextlib.closing(printer.file):
+        assert console.show({"accepted": accepted, "error": "some text"}, printer) == console.REFUSED
+    assert printer.export_text() == f"{word}: some text\n"
+
+
+def test_leases_are_shown():
+    """Guards against ``show leases`` that fails on the real parts' interface."""
+
+    async def scenario(world):
+        report = await world.nodes["n1"].command("show leases")
+        assert report["rows"] == [["n1", "north", True, 3.0], ["n2", "north", True, 0.0]]
+
+    run(scenario)
