Read and answer callers' requests with C buffers and one send

Cause: a statement took about 1.0 ms of processor time in the border's threads. cheroot buffers in pure Python (_pyio), sends head and body of an answer separately, and run_coroutine_threadsafe links two futures and a condition variable for each request.

Change: streams.py has a reader on io.BufferedReader and a writer that holds the head until its body; a lock carries the result back from the loop; metric children are cached; a request is built once, not copied.

--- a/src/currantlead/border/application.py
+++ b/src/currantlead/border/application.py
@@ -273,7 +273,8 @@
 ) -> interfaces.CallerRequest:
     on_database = route.action in (interfaces.Action.STATEMENT, interfaces.Action.BEGIN)
     is_open = route.action is interfaces.Action.OPEN
-    request = interfaces.CallerRequest(
+    age = None if statement is None else statement.max_age_ms
+    return interfaces.CallerRequest(
         request=number,
         action=route.action,
         key_digest=None if key is None else hashlib.sha256(key.encode("ascii")).hexdigest(),
@@ -282,15 +283,9 @@
         transaction="" if on_database or is_open else route.name,
         route=route.name if is_open else "",
         idempotency_key=idempotency_key,
-    )
-    if statement is None:
-        return request
-    age = statement.max_age_ms
-    return dataclasses.replace(
-        request,
-        sql=statement.sql,
-        params=tuple(statement.params),
-        write=statement.access == "write",
+        sql="" if statement is None else statement.sql,
+        params=() if statement is None else tuple(statement.params),
+        write=statement is not None and statement.access == "write",
         max_age_s=None if age is None else age / 1000,
     )
 
--- a/src/currantlead/border/listener.py
+++ b/src/currantlead/border/listener.py
@@ -9,9 +9,10 @@
 import time
 from typing import Any
 
-from cheroot import connections, makefile, server, wsgi
+from cheroot import connections, server, wsgi
 
 from currantlead import logs, verdict
+from currantlead.border import streams
 
 KEEP_ALIVE_CONNECTIONS = 8192
 """cheroot keeps 10 connections by default; a VM serves 2,667, and twice that when half of the VMs fail."""
@@ -81,8 +82,16 @@
             self.close_connection = True
         # Gives the client a full period to take the answer, whatever the proxy needed.
         self.conn.start_deadline()
+        self.conn.wfile.hold()
         super().send_headers()
 
+    def respond(self) -> None:
+        """Answer; the head of an answer without a body is sent at the end."""
+        try:
+            super().respond()
+        finally:
+            self.conn.wfile.release()
+
 
 def _classify(status: str) -> tuple[verdict.Reason, verdict.Verdict]:
     if status.startswith("500"):
@@ -94,26 +103,10 @@
     return verdict.Reason.MALFORMED, verdict.Verdict.NOT_RUN
 
 
-class _DeadlineSocket(socket.SocketIO):
-    """Bound the whole transfer: cheroot's timeout starts again at each byte, so a slow client holds its thread."""
-
-    def __init__(self, sock: socket.socket, mode: str, connection: "_Connection"):
-        super().__init__(sock, mode)  # type: ignore[arg-type]
-        self._connection = connection
-
-    def readinto(self, buffer: Any) -> int | None:
-        self._connection.apply_deadline()
-        return super().readinto(buffer)
-
-    def write(self, data: Any) -> int | None:
-        self._connection.apply_deadline()
-        return super().write(data)
-
-
 class _Connection(server.HTTPConnection):
     RequestHandlerClass = _Request
 
-    def __init__(self, httpserver: Any, sock: socket.socket, make: Any = makefile.MakeFile):
+    def __init__(self, httpserver: Any, sock: socket.socket, make: Any = None):
         self._deadline = time.monotonic() + httpserver.timeout
         super().__init__(httpserver, sock, self._make)
 
@@ -129,9 +122,8 @@
         self.socket.settimeout(left)
 
     def _make(self, sock: socket.socket, mode: str, bufsize: int = io.DEFAULT_BUFFER_SIZE) -> Any:
-        stream = makefile.MakeFile(sock, mode, bufsize)
-        stream._raw = _DeadlineSocket(sock, mode, self)
-        return stream
+        raw = streams.DeadlineSocket(sock, mode, self.apply_deadline)
+        return streams.Reader(raw, bufsize) if "r" in mode else streams.Writer(raw)
 
 
 class _Connections(connections.ConnectionManager):
--- a/src/currantlead/border/server.py
+++ b/src/currantlead/border/server.py
@@ -1,6 +1,7 @@
 """Run the HTTP servers of callers and operators with CherryPy."""
 
 import asyncio
+import concurrent.futures
 import enum
 import hashlib
 import hmac
@@ -49,6 +50,44 @@
     LEAVING = "leaving"
 
 
+class _Call:
+    """Carry one coroutine to a loop and its result back to the thread that waits.
+
+    ``asyncio.run_coroutine_threadsafe`` links two futures, with a condition variable and three callbacks for each
+    request; one lock does the same here.
+    """
+
+    __slots__ = ("_coroutine", "_done", "_loop", "_task")
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, coroutine: Coroutine[Any, Any, Any]):
+        self._loop = loop
+        self._coroutine = coroutine
+        self._task: asyncio.Task[Any] | None = None
+        self._done = threading.Lock()
+        self._done.acquire()
+
+    def start(self) -> None:
+        """Start the coroutine; runs on the loop."""
+        self._task = self._loop.create_task(self._coroutine)
+        self._task.add_done_callback(lambda task: self._done.release())
+
+    def cancel(self) -> None:
+        """Cancel the coroutine; runs on the loop, after ``start``."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def wait(self, timeout_s: float) -> Any:
+        """Wait for the result; raises ``TimeoutError`` or what the coroutine raised."""
+        if not self._done.acquire(timeout=timeout_s):
+            self._loop.call_soon_threadsafe(self.cancel)
+            raise TimeoutError
+        assert self._task is not None
+        if self._task.cancelled():
+            # ``asyncio.CancelledError`` is no ``Exception`` and would end the worker thread.
+            raise concurrent.futures.CancelledError
+        return self._task.result()
+
+
 def run_on(loop: asyncio.AbstractEventLoop) -> application.Run:
     """Return a function that runs a coroutine on a loop of another thread and waits for it.
 
@@ -63,11 +102,9 @@
         if not loop.is_running():
             coroutine.close()
             raise application.NotStartedError("the core loop does not run")
-        future = asyncio.run_coroutine_threadsafe(coroutine, loop)
-        try:
-            return future.result(timeout_s)
-        finally:
-            future.cancel()
+        call = _Call(loop, coroutine)
+        loop.call_soon_threadsafe(call.start)
+        return call.wait(timeout_s)
 
     return run
 
@@ -83,11 +120,17 @@
         self._seconds = prometheus_client.Histogram(
             "currantlead_request_seconds", "Seconds from headers to answer", ["action"], registry=registry
         )
+        self._children: dict[tuple[str, int], tuple[Any, Any]] = {}
 
     def observe(self, action: str, status: int, seconds: float) -> None:
         """Record one answer."""
-        self._answers.labels(action, str(status)).inc()
-        self._seconds.labels(action).observe(seconds)
+        # Looking up labels costs more than counting; actions and status codes are few.
+        children = self._children.get((action, status))
+        if children is None:
+            children = self._answers.labels(action, str(status)), self._seconds.labels(action)
+            self._children[(action, status)] = children
+        children[0].inc()
+        children[1].observe(seconds)
 
 
 class Border:
--- a/src/currantlead/metrics.py
+++ b/src/currantlead/metrics.py
@@ -1,5 +1,7 @@
 """Counters and latencies of one VM, in the form that operators' tools read."""
 
+import functools
+
 import prometheus_client
 from hdrh import histogram
 from prometheus_client import core, registry
@@ -9,6 +11,10 @@
 )
 READS = prometheus_client.Counter("currantlead_reads", "Completed reads by role of the instance.", ["role"])
 
+# Looking up labels costs more than counting; all combinations together are few.
+count_request = functools.cache(REQUESTS.labels)
+count_read = functools.cache(READS.labels)
+
 _LOWEST_US, _HIGHEST_US, _DIGITS = 1, 60_000_000, 2
 _QUANTILES = (50.0, 90.0, 99.0, 99.9)
 
--- a/src/currantlead/routing/proxy.py
+++ b/src/currantlead/routing/proxy.py
@@ -85,10 +85,10 @@
             database = request.database or self._database_of(request)
             if database:
                 session = tokens.advance(session, database, outcome.ok_value.position)
-            metrics.REQUESTS.labels("completed", "").inc()
+            metrics.count_request("completed", "").inc()
         else:
             refusal = outcome.err_value
-            metrics.REQUESTS.labels(refusal.verdict.value, refusal.reason.value).inc()
+            metrics.count_request(refusal.verdict.value, refusal.reason.value).inc()
             _log.info(
                 "{} refused: {} {}", request.action.value, refusal.reason.value, refusal.detail, request=request.request
             )
@@ -222,7 +222,7 @@
             if outcome.ok_value.position is not None:
                 self._positions.record_applied(target.instance, outcome.ok_value.position, self._clock())
             if not statement.write:
-                metrics.READS.labels(target.role.value).inc()
+                metrics.count_read(target.role.value).inc()
         elif outcome.err_value.reason is verdict.Reason.BEHIND:
             index = outcome.err_value.index or 0
             self._positions.record_behind(target.instance, messages.Position(target.term, index), self._clock())
