--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -150,18 +150,39 @@
         for database in size.databases:
             for domain in size.vms:
                 name = f"{database}-{domain}"
-                self.endpoints[name] = self._start(
-                    name,
-                    "tests.standins.endpoint",
-                    *("--name", name, "--group", database, "--port", "0"),
-                    *("--connections", size.connections, "--connect-time", size.connect_time_s),
-                    *("--slots", size.slots, "--statement-time", size.statement_time_s),
-                )
+                self.endpoints[name] = self._start_endpoint(name, database, 0)
         for process in self.endpoints.values():
             self._await_port(process)
         for number, database in enumerate(size.databases):
             self._form_group(database, number)
 
+    def _start_endpoint(self, name: str, database: str, port: int) -> Process:
+        size = self.deployment
+        return self._start(
+            name,
+            "tests.standins.endpoint",
+            *("--name", name, "--group", database, "--port", port),
+            *("--connections", size.connections, "--connect-time", size.connect_time_s),
+            *("--slots", size.slots, "--statement-time", size.statement_time_s),
+        )
+
+    def restart_endpoint(self, name: str) -> Process:
+        """Start a killed instance at its address again, without data.
+
+        Args:
+            name: Name of the instance.
+
+        Returns:
+            Its process.
+        """
+        port = int(self.endpoints[name].addresses["http"].rpartition(":")[2])
+        (self._folder / f"{name}.port").unlink(missing_ok=True)
+        database = next(each for each in self.deployment.databases if name.startswith(f"{each}-"))
+        self.endpoints[name] = self._start_endpoint(name, database, port)
+        self._await_port(self.endpoints[name])
+        call(f"{self.endpoints[name].url}/control", {"lag_s": self.deployment.lag_s})
+        return self.endpoints[name]
+
     def _form_group(self, database: str, number: int) -> None:
         primary = self.primary_at_start(database, number)
         members = {f"{database}-{domain}": self.endpoints[f"{database}-{domain}"] for domain in self.deployment.vms}
--- /dev/null
+++ b/tools/experiments/__init__.py
@@ -0,0 +1,7 @@
+"""Experiments of the bench; importing this package registers them."""
+
+import importlib
+import pkgutil
+
+for _module in pkgutil.iter_modules(__path__):
+    importlib.import_module(f"{__name__}.{_module.name}")
--- a/tools/load.py
+++ b/tools/load.py
@@ -138,13 +138,14 @@
         """Keep the newest position of each database; concurrent answers may come in any order."""
         if token is None:
             return
-        newest = _positions(self.token)
-        for database, position in _positions(token).items():
+        newest = positions(self.token)
+        for database, position in positions(token).items():
             newest[database] = max(newest.get(database, position), position)
         self.token = "v1:" + ",".join(f"{name}.{term}.{index}" for name, (term, index) in sorted(newest.items()))
 
 
-def _positions(token: str | None) -> dict[str, tuple[int, int]]:
+def positions(token: str | None) -> dict[str, tuple[int, int]]:
+    """Return term and index by database of a session token."""
     entries = (entry.split(".") for entry in (token or "v1:")[3:].split(",") if entry)
     return {name: (int(term), int(index)) for name, term, index in entries}
 
--- /dev/null
+++ b/tools/report.py
@@ -0,0 +1,90 @@
+"""Write the page of measures."""
+
+import os
+import pathlib
+import platform
+import subprocess
+import time
+from collections.abc import Sequence
+
+from tools.experiments import figures
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+
+
+def describe_machine() -> dict[str, str]:
+    """Return what the figures depend on: machine, load at the start, Python and commit."""
+    memory = os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES") / 2**30
+    return {
+        "Date": time.strftime("%Y-%m-%d %H:%M UTC", time.gmtime()),
+        "Commit": _git("rev-parse", "--short", "HEAD") + (" with changes" if _git("status", "--porcelain") else ""),
+        "Cores": str(len(os.sched_getaffinity(0))),
+        "Memory": f"{memory:.0f} GiB",
+        "Python": platform.python_version(),
+        "Load average at the start": " ".join(f"{value:.2f}" for value in os.getloadavg()),
+    }
+
+
+def _git(*arguments: str) -> str:
+    done = subprocess.run(["git", *arguments], cwd=ROOT, capture_output=True, text=True)
+    return done.stdout.strip() if done.returncode == 0 else "unknown"
+
+
+def write(
+    path: pathlib.Path,
+    machine: dict[str, str],
+    taken: Sequence[figures.Figure],
+    faults: Sequence[str],
+    flags: Sequence[str] = (),
+) -> None:
+    """Write the page.
+
+    Args:
+        path: File to write.
+        machine: What the figures depend on.
+        taken: Figures.
+        faults: Experiments that did not finish.
+        flags: Flags of the run.
+    """
+    path.write_text(render(machine, taken, faults, flags))
+
+
+def render(
+    machine: dict[str, str], taken: Sequence[figures.Figure], faults: Sequence[str], flags: Sequence[str] = ()
+) -> str:
+    """Return the text of the page; see ``write`` for the arguments."""
+    lines = ["# Measures", "", "Written by `python -m tools.bench`; do not edit.", ""]
+    lines += [f"- {name}: {value}" for name, value in machine.items()]
+    lines += [f"- Flags: {' '.join(flags) or 'none'}", ""]
+    if faults:
+        lines += ["Experiments that did not finish:", "", *(f"- {fault}" for fault in faults), ""]
+    for name in figures.EXPERIMENTS:
+        rows = [figure for figure in taken if figure.measure.partition(".")[0] == name]
+        if rows:
+            experiment = figures.EXPERIMENTS.get(name)
+            lines += [f"## {experiment.title}", "", experiment.method, ""]
+            lines += [*_table(rows), ""]
+            lines += _images(name, ROOT / "docs" / "plots")
+    return "\n".join(lines).rstrip() + "\n"
+
+
+def _table(rows: Sequence[figures.Figure]) -> list[str]:
+    lines = [
+        "| measure | deployment | value | unit | bound | holds | baseline | ratio | load average |",
+        "| --- | --- | --- | --- | --- | --- | --- | --- | --- |",
+    ]
+    for row in rows:
+        holds = {True: "yes", False: "**no**", None: ""}[row.holds]
+        cells = [row.measure, row.deployment, _number(row.value), row.unit, row.bound, holds]
+        cells += [_number(row.baseline), _number(row.ratio), f"{row.load_average:.2f}"]
+        lines.append("| " + " | ".join(cells) + " |")
+    return lines
+
+
+def _images(name: str, folder: pathlib.Path) -> list[str]:
+    found = sorted(folder.glob(f"{name}-*.png"))
+    return [f"![{path.stem}](plots/{path.name})" for path in found] + ([""] if found else [])
+
+
+def _number(value: float | None) -> str:
+    return "" if value is None else f"{value:.4g}"
