Let statements leave the queue of an instance that does not answer

Cause: after the primary was frozen or cut, 42% of the reads that followed ended with queue_timeout. Writes sent to it held the few slots of its holder until their own timeout, also when the instance was listed as a replica again. Reads waited behind them for 2 s and were not tried elsewhere.

Change: a holder asks an instance for its status if a statement takes longer than 0.5 s. Without an answer in 1 s it refuses what waits, and what comes in the next 2 s, as unreachable and not run, so that the proxy turns to another instance. A read under way is abandoned as well; a write goes on, because it may have run. A slow statement of an instance that answers is left alone.

--- a/src/currantlead/connections/dispatch.py
+++ b/src/currantlead/connections/dispatch.py
@@ -6,7 +6,7 @@
 
 from currantlead import verdict
 from currantlead.admission import fairness
-from currantlead.connections import endpoint, pool
+from currantlead.connections import endpoint, pool, silence
 from currantlead.control import model
 
 
@@ -20,6 +20,7 @@
         self.pool = pool.Pool(instance.name, lambda: self.endpoint.open(timeout_s=open_timeout_s))
         self.share = 0.0
         self.leaving_since: float | None = None
+        self._silent_until = 0.0
         self._slots = 0
         self._in_flight = 0
         self._queue: fairness.FairQueue[asyncio.Future[verdict.Refusal | None]] = fairness.FairQueue()
@@ -55,11 +56,24 @@
 
     def refuse_waiting(self) -> None:
         """Refuse everything in the queue, because this VM does not hold the instance any more."""
-        refusal = verdict.Refusal(
-            verdict.Reason.NOT_HOLDER, verdict.Verdict.NOT_RUN, "this VM does not hold the instance", 0.1
+        self._refuse_queue(
+            verdict.Refusal(
+                verdict.Reason.NOT_HOLDER, verdict.Verdict.NOT_RUN, "this VM does not hold the instance", 0.1
+            )
         )
-        while (entry := self._queue.pop()) is not None:
-            self._answer(entry, refusal)
+
+    def note_silent(self) -> None:
+        """Refuse what waits and what comes in the next moment, so that it can run at another instance."""
+        self._silent_until = time.monotonic() + silence.SILENT_S
+        self._refuse_queue(self._silent())
+
+    def check_silence(self) -> verdict.Refusal | None:
+        """Return a refusal if the instance gave no answer a moment ago."""
+        return self._silent() if time.monotonic() < self._silent_until else None
+
+    async def answers(self) -> bool:
+        """Ask the instance whether it answers at all."""
+        return (await self.endpoint.status(timeout_s=silence.STATUS_TIMEOUT_S)).is_ok()
 
     async def enter(
         self, organisation: str, *, weight: float, limit: int, deadline: float, pinned: bool = False
@@ -106,6 +120,14 @@
         self.pool.close()
         await self.endpoint.close()
 
+    def _silent(self) -> verdict.Refusal:
+        detail = f"{self.instance.name} does not answer"
+        return verdict.Refusal(verdict.Reason.UNREACHABLE, verdict.Verdict.NOT_RUN, detail, 0.1)
+
+    def _refuse_queue(self, refusal: verdict.Refusal) -> None:
+        while (entry := self._queue.pop()) is not None:
+            self._answer(entry, refusal)
+
     def _pump(self) -> None:
         while self._in_flight < self._slots and (entry := self._queue.pop()) is not None:
             if not entry.item.done():
--- a/src/currantlead/connections/holder.py
+++ b/src/currantlead/connections/holder.py
@@ -143,7 +143,7 @@
         async def send(connection: endpoint.Connection) -> turns.Outcome:
             return await self._send(connection, work, min_time, deadline)
 
-        outcome = await turns_.run(held, work.caller.organisation, deadline, send)
+        outcome = await turns_.run(held, work.caller.organisation, deadline, send, read=not statement.write)
         if outcome.is_err():
             turns_.report_silence(statement.database, work.instance, work.term, outcome.err_value)
             return outcome
--- a/src/currantlead/connections/turns.py
+++ b/src/currantlead/connections/turns.py
@@ -6,7 +6,7 @@
 import result
 
 from currantlead import interfaces, messages, timers, verdict
-from currantlead.connections import acknowledgement, checks, dispatch, endpoint, places
+from currantlead.connections import acknowledgement, checks, dispatch, endpoint, places, silence
 
 # An instance that is busy with locks refuses quickly; the statement gives its slot away and waits this long.
 BUSY_PAUSE_S = 0.02
@@ -118,6 +118,8 @@
         deadline: float,
         send: Send,
         kept: list[endpoint.Connection] | None = None,
+        *,
+        read: bool = False,
     ) -> Outcome:
         """Wait for a slot and a connection, then send; repeat only what an instance refused as busy.
 
@@ -127,6 +129,7 @@
             deadline: When the sender stops waiting.
             send: Checks once more and sends on a connection.
             kept: Connections that ``send`` pins and that are not given back here.
+            read: Whether it is a read, which is abandoned once its instance stops answering.
         """
 
         async def lend() -> Outcome:
@@ -140,7 +143,16 @@
                 if not kept or connection not in kept:
                     held.pool.release(connection)
 
-        return await self._repeat(held, organisation, deadline, lend, pinned=False)
+        async def watch() -> Outcome:
+            outcome = await silence.run_while_answering(lend(), held.answers, held.note_silent, abandon=read)
+            if outcome is not None:
+                return outcome
+            detail = f"{held.instance.name} does not answer"
+            return result.Err(verdict.Refusal(verdict.Reason.UNREACHABLE, verdict.Verdict.MAY_HAVE_RUN, detail))
+
+        if (refusal := held.check_silence()) is not None:
+            return result.Err(refusal)
+        return await self._repeat(held, organisation, deadline, watch, pinned=False)
 
     async def run_pinned(
         self, held: dispatch.Dispatcher, organisation: str, deadline: float, send: Callable[[], Awaitable[Outcome]]
