--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 DEPLOYMENT ?= thessaly
 
-.PHONY: setup lint format test demo bench capacity fuzz clean
+.PHONY: setup lint format test demo bench slopes capacity fuzz clean
 
 setup: $(STAMP)
 
@@ -34,6 +34,9 @@
 bench: setup
 	$(BIN)/python -m tools.bench
 
+slopes: setup
+	$(BIN)/python -m tools.slopes
+
 capacity: setup
 	$(BIN)/python -m tools.capacity
 
