Let rising shares take effect in time, and halve the relays' pushes

Change: the check for shares every 0.5 s configures the ledgers. The two relays share the members between them; a member whose relay has just died pulls after the next heartbeat.

Result: the new test of the share fails before (rate 10) and passes after (15).

--- a/src/currantlead/admission/service.py
+++ b/src/currantlead/admission/service.py
@@ -303,7 +303,8 @@
             self._exchange.tell(vm, exchange.Ask(state.name, spent=tuple(state.cache.reports(vm)), returned=returned))
 
     async def _confirm(self) -> None:
-        """Confirm a falling share once every member of this domain's view has adopted it."""
+        """Adopt a share that rises by time alone, and confirm a falling one once this domain has adopted it."""
+        self._changed("shares", "current")
         division = self._directory.shares
         if self._platform is None or not self._owner.division.must_confirm(division):
             return
--- a/src/currantlead/control/relay.py
+++ b/src/currantlead/control/relay.py
@@ -23,6 +23,20 @@
 Rank = Callable[[str, Sequence[str]], Sequence[str]]
 
 
+def targets_of(place: int, view: model.View, own: str) -> list[str]:
+    """Return the members that a relay pushes to: every second one. Relays themselves learn changes by their watches.
+
+    Args:
+        place: Place of the relay among the relays, from 0.
+        view: View of the domain.
+        own: Name of the relay's VM.
+
+    Returns:
+        Names of VMs without the relay itself.
+    """
+    return [member.vm for number, member in enumerate(view.members) if number % RELAYS == place and member.vm != own]
+
+
 class Relay:
     """Keep a directory up to date from the store, from pushes and from peers.
 
@@ -100,15 +114,19 @@
         view = self._directory.views.get(member.domain)
         if view is None or view.member(member.vm) is None:
             return True
+        return self._place(view) is not None
+
+    def _place(self, view: model.View) -> int | None:
+        """Return this VM's place among the relays of its domain, or None if it is not one."""
         # Without the dead VMs the order of the others is the same, so only those before this VM are asked about.
         ahead = 0
-        for vm in self._rank(f"relay/{member.domain}", [other.vm for other in view.members]):
-            if vm == member.vm:
-                return True
+        for vm in self._rank(f"relay/{view.domain}", [other.vm for other in view.members]):
+            if vm == self._peers.member.vm:
+                return ahead
             ahead += self._alive(vm)
             if ahead >= RELAYS:
-                return False
-        return False
+                return None
+        return None
 
     def numbers(self) -> dict[str, Any]:
         """Return the numbers that heartbeats carry to ``on_peer_numbers`` of other VMs."""
@@ -293,14 +311,21 @@
             return
         if kind == configuration.INDEX_KIND:
             changed = exchange.configuration_objects(self._directory, known_parts)
-        self._send(changed)
+        self._send(changed, shared=True)
+
+    def _send(self, objects: Sequence[interfaces.StoredObject], *, shared: bool = False) -> None:
+        """Push objects to the domain; relays that both see a change share the members between them.
 
-    def _send(self, objects: Sequence[interfaces.StoredObject]) -> None:
+        A member whose relay has just died sees the higher numbers in the next heartbeat of any other and pulls.
+        """
         own = self._peers.member
         view = self._directory.views.get(own.domain)
         if view is None or view.member(own.vm) is None:
             return
         targets = [member.vm for member in view.members if member.vm != own.vm]
+        place = self._place(view) if shared else None
+        if place is not None:
+            targets = targets_of(place, view, own.vm)
         for rows in exchange.batch(objects):
             body = wire.to_map(exchange.Objects(tuple(rows), numbers=exchange.numbers(self._directory)))
             for vm in targets:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -261,3 +261,12 @@
     assert not exchange.same_state(cache, {})
     for vm in world.vms.values():
         await vm.relay.stop()
+
+
+def test_relays_share_the_members_between_them():
+    """Two relays that both push to everyone would spend twice the bytes; together they must still reach everyone."""
+    members = tuple(model.Member(f"a-{n:02}", "a", n, "") for n in range(9))
+    view = model.View("a", 1, members)
+    first, second = (set(relay.targets_of(place, view, "a-00")) for place in (0, 1))
+    assert first | second == {member.vm for member in members} - {"a-00"}
+    assert not first & second
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from currantlead import errors, interfaces, verdict
 from currantlead.control import model
 from tests import rates
@@ -246,3 +248,20 @@
         assert owner._owner.is_idle(account)
 
     rates.run(scenario())
+
+
+def test_rising_share_takes_effect_without_another_change():
+    """Guards against a share that rises only when some other object changes: the rate would stay too low for hours."""
+
+    async def scenario():
+        services, _, directory, _ = rates.cluster(3, rate=30.0, burst=9.0)
+        await _started(services)
+        assert await services["vm0"].admit("tenant") is None
+        third = 1 / 3
+        shares = model.Shares(2, {"a": 0.5, "b": 0.5}, dict.fromkeys("abc", third), {"c": 2})
+        directory.change(shares=shares)
+        await asyncio.sleep(5)
+        ledger = services["vm0"]._states["tenant"].account.ledger
+        assert ledger.rate == pytest.approx(15.0)
+
+    rates.run(scenario())
