Show rates in requests

Cause: `show rates` printed the ledger's internal unit, such as 2438531 for a level of 2.4 requests.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,13 +1,14 @@
 """Contracts of the operators' node: numbers of all domains, pending VMs, lost answers and races."""
 
 import asyncio
-import contextlib
+import io
 import types
 
 import pytest
 import rich.console
 
 from currantlead import errors
+from currantlead.admission import bucket
 from currantlead.control import directory, model, records, store
 from currantlead.operators import console, node
 from tests import rates
@@ -30,7 +31,8 @@
                 known.apply(records.stored(view) for view in self.views)
                 peers = self.network.join(vm, domain)
                 peers.request = self._slow(peers)
-                parts = (known, self._members(vm, domain), None, None, peers, store.Store(self.platform, now))
+                gate = types.SimpleNamespace(ledgers=lambda: [("farm", 2.5 * bucket.TOKEN, bucket.TOKEN)])
+                parts = (known, self._members(vm, domain), gate, None, peers, store.Store(self.platform, now))
                 self.nodes[vm] = node.Node(node.Parts(*parts, clock=rates.LoopTimers()))
 
     def _slow(self, peers):
@@ -178,17 +180,18 @@
 @pytest.mark.parametrize(("accepted", "word"), [(False, "refused"), (None, "failed")])
 def test_console_calls_only_a_refusal_refused(accepted, word):
     """Guards against an operator who repeats a change as "refused" that was stored."""
-    printer = rich.console.Console(record=True, quiet=False, width=200, file=open("/dev/null", "w"))  # noqa: SIM115
-    with contextlib.closing(printer.file):
-        assert console.show({"accepted": accepted, "error": "some text"}, printer) == console.REFUSED
+    printer = rich.console.Console(record=True, width=200, file=io.StringIO())
+    assert console.show({"accepted": accepted, "error": "some text"}, printer) == console.REFUSED
     assert printer.export_text() == f"{word}: some text\n"
 
 
-def test_leases_are_shown():
-    """Guards against ``show leases`` that fails on the real parts' interface."""
+def test_leases_and_rates_are_shown():
+    """Guards against numbers that operators misread: other VMs' leases are a hint, and levels are in requests."""
 
     async def scenario(world):
         report = await world.nodes["n1"].command("show leases")
         assert report["rows"] == [["n1", "north", True, 3.0], ["n2", "north", True, 0.0]]
+        report = await world.nodes["n1"].command("show rates")
+        assert report["rows"] == [["farm", "north", "n1", 2.5, 1.0]]
 
     run(scenario)
