Send statements on the connection's protocol without a session

Cause: aiohttp's session builds a request, a response and timers for each call; this was the largest part of the holder's work for a statement. It also followed a redirect of an instance, which is an unknown answer.

Change: after /connect, statements use the connection's aiohttp protocol and response parser directly. A request id with a line break is refused before sending.

--- a/src/currantlead/connections/endpoint.py
+++ b/src/currantlead/connections/endpoint.py
@@ -8,15 +8,20 @@
 import dataclasses
 import json
 import time
+import urllib.parse
+from collections.abc import Mapping
 from typing import Any
 
 import aiohttp
 import result
+from aiohttp import http_exceptions, streams
 
 from currantlead import verdict
 from currantlead.control import model
 
 REQUEST_ID = "X-Request-Id"
+# The connector does not see the statements, so it must never take the connection for idle.
+_KEEP_S = 10 * 365 * 86400.0
 _NOT_RUN = {
     (409, "stale_term"): verdict.Reason.STALE_TERM,
     (409, "not_primary"): verdict.Reason.NOT_PRIMARY,
@@ -78,7 +83,7 @@
     """Open one TCP connection at most, because a second one would be another database connection."""
 
     def __init__(self) -> None:
-        super().__init__(limit=1, keepalive_timeout=86400.0)
+        super().__init__(limit=1, keepalive_timeout=_KEEP_S)
         self.protocol: Any = None
 
     async def _create_connection(self, *args: Any) -> Any:
@@ -101,10 +106,17 @@
 class Connection:
     """Run statements on one database connection, one at a time."""
 
-    def __init__(self, url: str, connector: _SingleConnector, session: aiohttp.ClientSession, number: str):
+    def __init__(
+        self,
+        url: str,
+        connector: _SingleConnector,
+        session: aiohttp.ClientSession,
+        number: str,
+        headers: Mapping[str, str],
+    ):
         self.number = number
         self.closed = False
-        self._urls = {route: f"{url}/{route}" for route in ("execute", "begin", "commit", "rollback")}
+        self._heads = {route: _render_head(url, route, headers) for route in ("execute", "begin", "commit", "rollback")}
         self._connector = connector
         self._session = session
         self._busy = False
@@ -156,17 +168,20 @@
         if not self.usable:
             self.close()
             return _refuse(verdict.Reason.UNREACHABLE, verdict.Verdict.NOT_RUN, "the connection was closed")
+        if not (request.isascii() and request.isprintable()):
+            # It would end the header that carries it.
+            return _refuse(verdict.Reason.MALFORMED, verdict.Verdict.NOT_RUN, "the request id is not printable ASCII")
         self._busy = True
         complete = False
         try:
             # One timer for the whole exchange costs less than aiohttp's own timeouts.
             async with asyncio.timeout(timeout_s):
-                outcome = await self._exchange(self._urls[route], request, body)
+                outcome = await self._exchange(self._heads[route], request, body)
             complete = outcome.is_ok() or outcome.err_value.verdict is verdict.Verdict.NOT_RUN
             return outcome
         except TimeoutError:
             return _refuse(verdict.Reason.TIMEOUT, verdict.Verdict.MAY_HAVE_RUN, "the instance did not answer in time")
-        except (aiohttp.ClientError, OSError) as error:
+        except (aiohttp.ClientError, http_exceptions.HttpProcessingError, streams.EofStream, OSError) as error:
             detail = f"the answer was lost: {type(error).__name__}"
             return _refuse(verdict.Reason.UNREACHABLE, verdict.Verdict.MAY_HAVE_RUN, detail)
         finally:
@@ -174,15 +189,35 @@
             if not complete:
                 self.close()
 
-    async def _exchange(self, url: str, request: str, body: dict[str, Any]) -> result.Result[Reply, verdict.Refusal]:
+    async def _exchange(self, head: str, request: str, body: dict[str, Any]) -> result.Result[Reply, verdict.Refusal]:
+        """Send on the connection's own protocol.
+
+        aiohttp's session builds a request, a response and a trace for each call and handles redirects and cookies, none
+        of which a statement uses; that took more time than the rest of the holder's work.
+        """
         data = json.dumps(body, separators=(",", ":")).encode()
-        headers = {REQUEST_ID: request, "Content-Type": "application/json"}
-        async with self._session.post(url, data=data, headers=headers) as answer:
-            raw = await answer.read()
-            echoed = answer.headers.get(REQUEST_ID, request)
-        if echoed != request:
+        protocol = self._connector.protocol
+        protocol.set_response_params(read_until_eof=True)
+        protocol.transport.write(
+            f"{head}{REQUEST_ID}: {request}\r\nContent-Length: {len(data)}\r\n\r\n".encode() + data
+        )
+        message, payload = await protocol.read()
+        while 100 <= message.code < 200:
+            message, payload = await protocol.read()
+        raw = await payload.read()
+        if message.headers.get(REQUEST_ID, request) != request:
             return _refuse(verdict.Reason.INTERNAL, verdict.Verdict.MAY_HAVE_RUN, "the answer is of another request")
-        return _read_answer(answer.status, raw)
+        return _read_answer(message.code, raw)
+
+
+def _render_head(url: str, route: str, headers: Mapping[str, str]) -> str:
+    """Return the request line and the headers that are the same for each statement."""
+    address = urllib.parse.urlsplit(f"{url}/{route}")
+    fields = {"Host": address.netloc, "Content-Type": "application/json", **headers}
+    if any(not (text.isascii() and text.isprintable()) for text in fields.values()):
+        raise ValueError("a header of the instance's requests is not printable ASCII")
+    lines = [f"POST {address.path} HTTP/1.1", *(f"{name}: {text}" for name, text in fields.items())]
+    return "".join(f"{line}\r\n" for line in lines)
 
 
 class Endpoint:
@@ -207,7 +242,7 @@
             async with asyncio.timeout(timeout_s), session.post(f"{self.url}/connect", json={}) as answer:
                 body = json.loads(await answer.read())
             if answer.status == 200 and isinstance(body.get("connection"), str):
-                return result.Ok(Connection(self.url, connector, session, body["connection"]))
+                return result.Ok(Connection(self.url, connector, session, body["connection"], self._headers))
             reason = _NOT_RUN.get((answer.status, body.get("error")), verdict.Reason.NO_CONNECTION)
             detail = f"the instance refused a connection: {body.get('error')}"
         except (aiohttp.ClientError, OSError, ValueError, AttributeError) as error:
--- a/tests/test_connection_endpoint.py
+++ b/tests/test_connection_endpoint.py
@@ -126,3 +126,47 @@
 def test_unknown_answer_is_in_doubt(status, raw):
     """An answer outside the interface is no evidence that nothing ran."""
     assert endpoint._read_answer(status, raw).err_value.verdict is MAY_HAVE_RUN
+
+
+async def test_request_id_cannot_end_its_header(primary):
+    """A request id of a peer that holds a line break is refused and does not add a second request to the stream."""
+    _, _, connection = primary
+    outcome = await connection.execute(
+        "r1\r\nX-Peer: other", term=1, sql="select 1", params=(), write=False, organisation="farm", timeout_s=1
+    )
+    assert (outcome.err_value.reason, outcome.err_value.verdict) == (Reason.MALFORMED, NOT_RUN)
+    assert (await run(connection, "select 1", write=False)).is_ok()
+
+
+async def test_connection_takes_large_answers_and_parameters(primary):
+    """A statement and an answer larger than the socket buffers are complete, and the connection stays usable."""
+    _, _, connection = primary
+    text = "x" * 900_000
+    answer = await connection.execute(
+        "r1", term=1, sql="select ?", params=(text,), write=False, organisation="farm", timeout_s=5
+    )
+    assert answer.ok_value.rows == ((text,),)
+    assert connection.usable
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"no http at all\r\n\r\n",
+        b"HTTP/1.1 302 Found\r\nLocation: /execute\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{}",
+        b"HTTP/1.1 200 OK\r\n\r\n{}",
+    ],
+)
+async def test_answer_outside_http_is_in_doubt(primary, raw):
+    """Bytes that are no complete answer leave the statement in doubt and close the connection."""
+    instance, _, connection = primary
+
+    async def spoil(request, response):
+        request.transport.write(raw)
+        request.transport.close()
+
+    instance._spoil = spoil
+    refusal = (await run(connection, timeout_s=1)).err_value
+    assert refusal.verdict is MAY_HAVE_RUN
+    assert connection.closed
