Write the page of measures after each experiment

Cause: a bench that was interrupted lost all its figures, and the figure of the worst organisation in the rate experiment counted only answers not run, while the bounded figure counts every request that did not complete.

Change: the page is written after each experiment, and the worst organisation is counted like the bounded figure.

--- a/tools/bench.py
+++ b/tools/bench.py
@@ -53,6 +53,7 @@
     names = experiment or sorted(figures.EXPERIMENTS)
     places = deployment or sorted(deployments.DEPLOYMENTS, reverse=True)
     machine = report.describe_machine()
+    target = page or (None if experiment else PAGE)
     taken: list[figures.Figure] = []
     faults: list[str] = []
     for place in places:
@@ -64,10 +65,13 @@
                 faults.append(f"{name} on {place}: {type(error).__name__}: {error}")
                 print(faults[-1], file=sys.stderr, flush=True)
                 continue
-            if sheet.series and (page or not experiment):
+            if sheet.series and target:
                 plots.draw(f"{name}-{place}", sheet.series, PAGE.parent / "plots")
-    if page or not experiment:
-        report.write(page or PAGE, machine, taken, faults, sys.argv[1:])
+            if target:
+                # Written after each experiment, so that an interrupted run keeps its figures.
+                report.write(target, machine, taken, faults, sys.argv[1:])
+    if target:
+        report.write(target, machine, taken, faults, sys.argv[1:])
     if faults or any(figure.holds is False for figure in taken):
         raise typer.Exit(1)
 
--- a/tools/experiments/rate_refusals.py
+++ b/tools/experiments/rate_refusals.py
@@ -103,12 +103,14 @@
         self._sheet.add(f"{name}_refused", bed.share(told, is_refused), "share", baseline=baseline)
         over_rate = bed.share(told, lambda item: item.reason == "over_rate")
         self._sheet.add(f"{name}_over_rate", over_rate, "share", baseline=baseline)
-        shares = {
-            organisation: bed.share([item for each, item in kept if each.organisation == organisation], is_refused)
-            or 0.0
+        shares = [
+            bed.share(
+                [item for each, item in kept if each.organisation == organisation],
+                lambda item: not bed.is_completed(item),
+            )
             for organisation in self._bed.limits
-        }
-        self._sheet.add(f"{name}_worst_organisation", max(shares.values()), "share")
+        ]
+        self._sheet.add(f"{name}_worst_organisation", max(each or 0.0 for each in shares), "share")
         self._sheet.add(f"{name}_p99", bed.p(told, 99.0), "s")
 
     async def _cause(self, failures: Sequence) -> None:
