Push a stored change from the VM that stored it

Cause: with the store at 1 s a call, a change was in force on 1 of 8 VMs after 2 s, because only the relays' own watches and reads brought it to the others. A withdrawn key must stop within 2 s also then. Change: the VM that stored a change pushes the new parts and the index to its domain and to the relays of the other domains; heartbeats do the rest.

--- a/src/currantlead/control/relay.py
+++ b/src/currantlead/control/relay.py
@@ -155,9 +155,22 @@
 
         Without this, a relay that applied its own write would find nothing new in its watch and push nothing.
         """
-        changed = self._directory.apply(written)
-        if changed:
-            self._send(changed)
+        objects = list(written)
+        if self._directory.apply(objects):
+            self._send(objects)
+
+    def publish_everywhere(self, written: Iterable[interfaces.StoredObject]) -> None:
+        """Do as ``publish``, and push to the relays of the other domains too.
+
+        With a slow store the relays' own watches and reads take longer than a withdrawn key may stay usable.
+        """
+        objects = list(written)
+        self.publish(objects)
+        own = self._peers.member.domain
+        for domain, view in self._directory.views.items():
+            if domain != own:
+                names = list(self._rank(f"relay/{domain}", [member.vm for member in view.members]))
+                self._push_to(names[:RELAYS], objects)
 
     def _compare(self, vm: str, theirs: exchange.Numbers, asked_at: float | None) -> None:
         if asked_at is not None and theirs.age_s is not None:
@@ -326,6 +339,9 @@
         place = self._place(view) if shared else None
         if place is not None:
             targets = targets_of(place, view, own.vm)
+        self._push_to(targets, objects)
+
+    def _push_to(self, targets: Sequence[str], objects: Sequence[interfaces.StoredObject]) -> None:
         for rows in exchange.batch(objects):
             body = wire.to_map(exchange.Objects(tuple(rows), numbers=exchange.numbers(self._directory)))
             for vm in targets:
--- a/src/currantlead/control/store.py
+++ b/src/currantlead/control/store.py
@@ -99,6 +99,7 @@
         grace_s: How long a part must be unused before ``collect`` removes it. VMs learn of a newer index within
             seconds; the default leaves them ten minutes to stop fetching the parts of an older one.
         sleep: Replaced in tests.
+        on_stored: Called with the new parts and the index after each change that is known to be stored.
     """
 
     def __init__(
@@ -111,6 +112,7 @@
         retry_s: float = 0.2,
         grace_s: float = 600.0,
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
+        on_stored: Callable[[list[interfaces.StoredObject]], None] = lambda written: None,
     ) -> None:
         self._platform = platform
         self._now = now
@@ -119,6 +121,7 @@
         self._retry_s = retry_s
         self._grace_s = grace_s
         self._sleep = sleep
+        self._on_stored = on_stored
         self._texts: dict[str, str] = {}
         self._unused: dict[tuple[str, int], float] = {}
 
@@ -242,17 +245,27 @@
             recent=(*current.recent, change)[-configuration.RECENT_CHANGES :],
         )
         try:
-            await self._write_index(index, current.version)
+            written = await self._write_index(index, current.version)
         except errors.PlatformUnavailableError:
             attempt.unsure = current
             raise
+        known = set(current.parts.values())
+        self._on_stored(
+            [
+                interfaces.StoredObject(configuration.PART_KIND, digest, 1, configuration.part_value(text))
+                for digest, text in encoded.texts.items()
+                if digest not in known
+            ]
+            + [written]
+        )
         self._texts = dict(encoded.texts)
         _log.info("configuration {} of change {} stored", number, attempt.change_id)
         return result.Ok(number)
 
-    async def _write_index(self, index: configuration.Index, if_version: int) -> None:
-        value = configuration.encode_index(index)
-        await self._platform.write(configuration.INDEX_KIND, configuration.INDEX_NAME, value, if_version=if_version)
+    async def _write_index(self, index: configuration.Index, if_version: int) -> interfaces.StoredObject:
+        kind, name, value = configuration.INDEX_KIND, configuration.INDEX_NAME, configuration.encode_index(index)
+        version = await self._platform.write(kind, name, value, if_version=if_version)
+        return interfaces.StoredObject(kind, name, version, value)
 
     async def _read_index(self) -> _Current:
         stored = await self._platform.read(configuration.INDEX_KIND, configuration.INDEX_NAME)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -270,3 +270,18 @@
     first, second = (set(relay.targets_of(place, view, "a-00")) for place in (0, 1))
     assert first | second == {member.vm for member in members} - {"a-00"}
     assert not first & second
+
+
+async def test_stored_change_is_pushed_while_the_watches_are_silent(world):
+    """A withdrawn key reaches the own domain and the relays of others although no relay gets an answer of the store."""
+    await world.add_view("a", "b", "c")
+    await world.add_view("x", "y", "z", domain="naousa")
+    await world.start("a", "b", "c")
+    await world.start("x", "y", "z", domain="naousa")
+    await wait_until(lambda: all(len(vm.cache.views) == 2 for vm in world.vms.values()))
+    for vm in world.vms.values():
+        vm.platform.down = True
+    new = model.Configuration(organisations={"farm": model.Organisation("farm", 3.0, 5.0)})
+    on_stored = world.vms["c"].relay.publish_everywhere
+    await store.Store(world.platform, world.clock.now, on_stored=on_stored).change(lambda old: new, "x")
+    await wait_until(lambda: [rate_of(world.vms[name]) for name in "abcxy"] == [3.0] * 5)
