--- a/src/currantlead/connections/places.py
+++ b/src/currantlead/connections/places.py
@@ -11,11 +11,12 @@
 SWEEP_S = 0.1
 # All groups are looked through less often than the held ones, because there may be hundreds.
 SCAN_S = 2.0
-# A planned change waits up to 0.5 s for writes under way before it tells the instances the new term.
-RETIRE_S = 1.0
 
 _log = logs.part("holder")
 
+# A planned change lets the old primary finish for up to 0.5 s after the record names the next term.
+FINISH_S = 0.75
+
 
 class Places:
     """Follow the shared state: open what this VM gains, release what it loses."""
@@ -190,8 +191,7 @@
 
 
 async def _stop_tracker(tracker: acknowledgement.Tracker, clients: list[endpoint.Endpoint]) -> None:
-    # A planned change lets writes under way finish: replicas still report the old term until they are told the new one.
-    await tracker.drain(timeout_s=RETIRE_S)
+    await tracker.finish(timeout_s=FINISH_S)
     await tracker.stop()
     for client in clients:
         await client.close()
