Report adoption to a witness that is also a witnessed VM

Cause: two domains may be each other's witness. Ruled out: the store's conditional update, lost frames.

Change: heartbeats to the witness carry the adopted number of its domain.

--- a/src/currantlead/control/members.py
+++ b/src/currantlead/control/members.py
@@ -278,6 +278,9 @@
         hurry = self._standing.roles.member and self._standing.lease.expires - now < HURRY_MARGIN_S
         for vm in self._targets:
             body = self._body(vm, stamp, numbers)
+            if view.witness is not None and vm == view.witness.vm:
+                # Two domains may be each other's witness; then this heartbeat takes the place of an answer.
+                body["o"] = self._standing.witness.number(view.witness.domain)
             if hurry:
                 body["f"] = 1
             if push:
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -163,3 +163,21 @@
     await fakes.until(lambda: len(vms[1].members.view.members) == 1 and vms[1].members.settled)
     await asyncio.wait_for(vms[1].stop(), 2.0)
     assert fakes.stored_view(platform, "larisa").members == ()
+
+
+async def test_last_member_leaves_although_its_witness_is_in_a_domain_that_it_witnesses():
+    """Guards against two domains that are each other's witness and so never report that they adopted a view."""
+    platform = fakes.FakePlatform()
+    here = await _start(platform, ["vm1", "vm2"])
+    there = await _start(platform, ["vm8", "vm9"], "naousa")
+    await fakes.until(lambda: all(vm.members.settled for vm in [*here, *there]))
+    for vm, other in [(here[0], there[0]), (here[1], there[0]), (there[0], here[0]), (there[1], here[0])]:
+        vm.directory.put(other.members.view)
+    await fakes.until(lambda: all(vm.members.view.witness is not None for vm in [*here, *there]), 6)
+    await here[0].stop()
+    await fakes.until(lambda: here[1].members.view.member("vm1") is None)
+    started = asyncio.get_running_loop().time()
+    await here[1].stop()
+    assert asyncio.get_running_loop().time() - started < 4.0
+    assert fakes.stored_view(platform, "larisa").members == ()
+    await _stop(there)
