Write log lines with one sink and in batches

Cause: each line went through two loguru sinks with their own formatting, and was written by a call of its own.

Change: one sink renders the record; the ring keeps times unformatted; the daemon writes the kept lines every 0.2 s, at ERROR, beyond 500 lines, at a planned stop and at the end of the process. A killed process loses the lines of the last 0.2 s.

--- a/src/currantlead/daemon.py
+++ b/src/currantlead/daemon.py
@@ -39,6 +39,7 @@
 """Requests are still accepted for this long after health answers leaving: balancers poll it about every 0.5 s."""
 RELEASE_POLL_S = 0.02
 STATE_CHECK_S = 0.25
+LOG_FLUSH_S = 0.2
 COMMAND_TIMEOUT_S = 14.0
 STATUS_CALLS = 64
 """Status questions to instances under way at once."""
@@ -78,6 +79,7 @@
         self.coordinator.start()
         self.divider.start()
         self.border.start()
+        self.timers.subscribe("log lines", LOG_FLUSH_S, logs.flush)
         self.timers.subscribe("drain", STATE_CHECK_S, self._follow_state)
         self._write_addresses()
 
@@ -239,8 +241,11 @@
     Returns:
         The exit code: 0 after a planned stop, 1 if it took longer than the drain timeout.
     """
-    logs.configure(level=checked.log_level, json_lines=checked.log_format == "json", vm=checked.vm)
-    return asyncio.run(_run(checked))
+    logs.configure(level=checked.log_level, json_lines=checked.log_format == "json", vm=checked.vm, buffered=True)
+    try:
+        return asyncio.run(_run(checked))
+    finally:
+        logs.flush()
 
 
 async def _run(checked: settings.Settings) -> int:
