Choose the holder by this VM's work under way

Cause: the local holder was preferred for every statement, so a queue grew there while the slots of the other holder were idle. Request ids were also ranked by a function that keeps every key, which pushed the rankings of roles out of its cache.

Change: the local holder comes first while its share of the slots has room for this VM's own work; else the holder with the least of it under way. Request ids rotate the candidates and are not kept.

--- a/src/currantlead/routing/dispatch.py
+++ b/src/currantlead/routing/dispatch.py
@@ -1,6 +1,7 @@
 """Send work to a VM that holds connections to the target instance."""
 
 import asyncio
+import collections
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Any, Protocol
 
@@ -55,6 +56,8 @@
         self._membership = membership
         self._peers = peers
         self._holder = holder
+        self._directory = directory
+        self._under_way: collections.Counter[tuple[str, str]] = collections.Counter()
         self._changed = asyncio.Condition()
         self._wakeups: set[asyncio.Task[None]] = set()
         directory.subscribe(self._on_change)
@@ -69,11 +72,11 @@
         Returns:
             The outcome; ``NOT_RUN`` if no holder executed it.
         """
-        return await self._try_holders(work, "execute", self._holder.execute, work.statement.request, domain)
+        return await self._try_holders(work, "execute", self._holder.execute, work.statement, domain)
 
     async def begin(self, work: messages.Begin, domain: str) -> interfaces.Outcome:
         """Open a transaction at a holder of the primary; takes and returns the same as ``execute``."""
-        return await self._try_holders(work, "begin", self._holder.begin, work.request, domain)
+        return await self._try_holders(work, "begin", self._holder.begin, work, domain)
 
     async def transact(self, work: messages.Transact, vm: str) -> interfaces.Outcome:
         """Run a statement of a transaction at the VM that holds it."""
@@ -106,7 +109,7 @@
         work: Any,
         kind: str,
         local: Callable[[Any], Awaitable[interfaces.Outcome]],
-        request: str,
+        named: messages.Statement | messages.Begin,
         domain: str,
     ) -> interfaces.Outcome:
         outcome: interfaces.Outcome = result.Err(
@@ -116,19 +119,44 @@
                 retry_after_s=RETRY_AFTER_S,
             )
         )
-        for vm in self._order(work.instance, domain, request):
-            _log.info("{} for {} goes to holder {}", kind, work.instance, vm, request=request)
-            outcome = await self._run_at(vm, kind, local, work)
+        for vm in self._order(work.instance, domain, named):
+            _log.info("{} for {} goes to holder {}", kind, work.instance, vm, request=named.request)
+            place = (vm, work.instance)
+            self._under_way[place] += 1
+            try:
+                outcome = await self._run_at(vm, kind, local, work)
+            finally:
+                self._under_way[place] -= 1
+                if not self._under_way[place]:
+                    del self._under_way[place]
             if isinstance(outcome, result.Ok) or not _other_holder_may_serve(outcome.err_value):
                 return outcome
         return outcome
 
-    def _order(self, instance: str, domain: str, request: str) -> Sequence[str]:
-        """Return the holders of an instance: this VM first, then those that are alive, spread by request."""
+    def _order(self, instance: str, domain: str, named: messages.Statement | messages.Begin) -> Sequence[str]:
+        """Return the holders of an instance, best first.
+
+        This VM comes first while its share of the slots has room for the work that it sent there itself; a statement
+        that would queue goes to the holder with the least work of this VM under way.
+        """
         own = self._peers.member.vm
-        holders = self._membership.holders(instance, domain)
-        ranked = placement.rank(request, tuple(holders))
-        return sorted(ranked, key=lambda vm: (vm != own, not self._membership.alive(vm)))
+        holders = tuple(self._membership.holders(instance, domain))
+        has_room = self._under_way[(own, instance)] < self._slots(named.database, len(holders))
+        return sorted(
+            placement.rotate(named.request, holders),
+            key=lambda vm: (
+                not self._membership.alive(vm),
+                vm != own or not has_room,
+                self._under_way[(vm, instance)],
+                vm != own,
+            ),
+        )
+
+    def _slots(self, database: str, holders: int) -> int:
+        configuration = self._directory.configuration
+        found = configuration.databases.get(database)
+        service = configuration.services.get(found.service) if found else None
+        return max(1, service.slots // max(1, holders)) if service else 1
 
     async def _run_at(
         self, vm: str, kind: str, local: Callable[[Any], Awaitable[interfaces.Outcome]], work: _Work
--- a/src/currantlead/routing/placement.py
+++ b/src/currantlead/routing/placement.py
@@ -2,6 +2,7 @@
 
 import functools
 import hashlib
+import zlib
 from collections.abc import Sequence
 
 # At the target size one domain places about 300 instances and the organisations of its callers.
@@ -43,6 +44,17 @@
     return _ranking(tuple(candidates)).rank(key)
 
 
+def rotate(key: str, candidates: Sequence[str]) -> tuple[str, ...]:
+    """Return the candidates with one of them first that depends on the key.
+
+    For keys that are used once, such as request ids: ``rank`` keeps each key, so they would push out those of roles.
+    """
+    if not candidates:
+        return ()
+    first = zlib.crc32(key.encode()) % len(candidates)
+    return (*candidates[first:], *candidates[:first])
+
+
 @functools.lru_cache(maxsize=_CACHED_RANKINGS)
 def _ranking(candidates: tuple[str, ...]) -> Ranking:
     return Ranking(candidates)
--- a/src/currantlead/routing/router.py
+++ b/src/currantlead/routing/router.py
@@ -73,8 +73,8 @@
             and in_service(instance)
             and self._positions.may_serve(instance.name, statement.after, now)
         ]
-        # Equally near replicas are ranked by the request id, which spreads reads over them.
-        order = {name: rank for rank, name in enumerate(placement.rank(statement.request, _names(replicas)))}
+        # Equally near replicas are rotated by the request id, which spreads reads over them.
+        order = {name: rank for rank, name in enumerate(placement.rotate(statement.request, _names(replicas)))}
         replicas.sort(key=lambda instance: (self._distance(instance.domain, configuration), order[instance.name]))
         targets = [Target(item.name, item.domain, Role.REPLICA, group.term) for item in replicas]
         return targets + ([primary] if primary is not None else [])
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -26,3 +26,14 @@
     """Guards against a weight that prefers some VMs."""
     firsts = [placement.rank(f"key{number}", VMS)[0] for number in range(4000)]
     assert all(400 < firsts.count(vm) < 600 for vm in VMS)
+
+
+def test_rotation_spreads_keys_and_keeps_all_candidates():
+    """Request ids spread over candidates and do not push the ranking of roles out of the cache."""
+    names = ("a", "b", "c")
+    known = placement._ranking.cache_info().currsize
+    firsts = [placement.rotate(f"r{number}", names)[0] for number in range(300)]
+    assert all(60 < firsts.count(name) < 140 for name in names)
+    assert sorted(placement.rotate("r1", names)) == list(names)
+    assert placement.rotate("r1", ()) == ()
+    assert placement._ranking.cache_info().currsize == known
