Give holders time to learn of a planned change

Cause: test_drained_endpoint_gets_no_new_work failed in some runs with one write answered "may have run, no majority". The coordinator took one poll interval without a new record as the end of all writes, while a holder that learned late still sent one to the old primary, which the election then discarded.

Change: the old primary's index must stand still at least 0.2 s after the record named the change. A VM also treats itself as alive when it orders holders, whatever the hint says.

Result: the new test fails before and passes after.

--- a/src/currantlead/control/promotion.py
+++ b/src/currantlead/control/promotion.py
@@ -11,6 +11,9 @@
 # Stops before the other monitors count the record as abandoned (2 s).
 STEP_LIMIT_S = 1.5
 SETTLE_LIMIT_S = 0.5
+# Holders learn of the change by pushes and may send a last write to the old primary until then, so an index that
+# stands still for one poll proves nothing yet.
+SETTLE_AT_LEAST_S = 0.2
 RETRY_S = 0.25
 
 
@@ -125,7 +128,8 @@
         if status is not None:
             previous = self._observed.get(instance)
             self._observed[instance] = status
-            if instance == self._old_primary and previous is not None and self._settled(previous, status):
+            learned = now - self._since >= SETTLE_AT_LEAST_S
+            if instance == self._old_primary and previous is not None and learned and self._settled(previous, status):
                 return self._begin_election(now)
         return []
 
--- a/src/currantlead/routing/dispatch.py
+++ b/src/currantlead/routing/dispatch.py
@@ -145,7 +145,7 @@
         return sorted(
             placement.rotate(named.request, holders),
             key=lambda vm: (
-                not self._membership.alive(vm),
+                vm != own and not self._membership.alive(vm),
                 vm != own or not has_room,
                 self._under_way[(vm, instance)],
                 vm != own,
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -184,3 +184,13 @@
     assert steps.written(write.group, 0.3) == [failover.SetTerm("c", 3, "replica", "b", 10)]
     (order,) = steps.term_set("c", status("c", term=3, log_term=1, received=10), 0.3)
     assert (order.instance, order.role) == ("b", "primary")
+
+
+def test_planned_change_waits_for_holders_that_learn_late():
+    """Guards against a write that a holder sends before it learns of the change and that the election then discards."""
+    steps = promotion.Promotion(GROUP, now=0.0, target="b")
+    steps.written(steps.start()[0].group, 0.0)
+    answers = [("b", status("b")), ("a", status("a", role="primary"))]
+    for now in (0.05, 0.10, 0.15):
+        assert not [action for name, answer in answers for action in steps.observed(name, answer, now)]
+    assert [action for name, answer in answers for action in steps.observed(name, answer, 0.25)]
