Keep trackers and witnesses until those who need them have moved on

Cause: under load two process tests failed. A write that was still at the primary when a planned change began found its tracker stopped, because only writes that already waited kept it ("may have run, no majority" after 11 ms). A VM that stopped by plan ended its work as a witness at once, so a domain of one VM with that witness lost its lease and answered "no owner of the rate answers" for over 2 s.

A leaving VM goes on as a witness for up to 4 s until no view names it, and a witness that has left its own view is replaced at once.

--- a/src/currantlead/connections/acknowledgement.py
+++ b/src/currantlead/connections/acknowledgement.py
@@ -55,10 +55,12 @@
         self._tasks = [loop.create_task(self._follow(name)) for name in self._replicas]
 
     async def finish(self, *, timeout_s: float) -> None:
-        """Give waiting writes some time after the term; what replicas report of this term still counts."""
-        waiting = [waiter for _, _, waiter in self._waiting if not waiter.done()]
-        if waiting:
-            await asyncio.wait(waiting, timeout=timeout_s)
+        """Give writes some time after the term; what replicas report of this term still counts.
+
+        A write that is still at the primary waits here only after its answer, so the time is not cut short while none
+        waits.
+        """
+        await asyncio.sleep(timeout_s)
 
     async def stop(self) -> None:
         """Stop polling; writes that wait are not acknowledged."""
--- a/src/currantlead/control/members.py
+++ b/src/currantlead/control/members.py
@@ -13,6 +13,10 @@
 LARGE_VIEW = 43
 LARGE_VIEW_HEARTBEAT_S = 1.5
 # Echoes normally wait for the next heartbeat; with less than this left of the lease they are asked for at once.
+# A domain whose witness left its view names another one within a heartbeat or two; without this time a domain of one
+# VM, whose quorum needs the witness, would lose its lease at each planned stop of that witness.
+HAND_OVER_S = 4.0
+HAND_OVER_POLL_S = 0.05
 HURRY_MARGIN_S = 0.9
 
 _log = logs.part("members")
@@ -158,6 +162,8 @@
         self._standing.leave()
         await self._run_release_callbacks()
         await self._changes.stop(leave=leave)
+        if leave:
+            await self._hand_over_witness()
         self._standing.lease.drop()
         for subscription in self._subscriptions:
             subscription.cancel()
@@ -165,6 +171,17 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    async def _hand_over_witness(self) -> None:
+        """Go on acknowledging for other domains until their views name another witness."""
+        end = self._clock.now() + HAND_OVER_S
+        # Views of other domains arrive by the directory, which has no event for this one question.
+        while self._clock.now() < end and self._is_witness():  # noqa: ASYNC110
+            await asyncio.sleep(HAND_OVER_POLL_S)
+
+    def _is_witness(self) -> bool:
+        witnesses = (view.witness for view in self._views.values())
+        return any(witness is not None and lease.identify(witness) == self._me for witness in witnesses)
+
     # Interface of ``changes``.
 
     @property
--- a/src/currantlead/control/views.py
+++ b/src/currantlead/control/views.py
@@ -67,8 +67,8 @@
     usable = {member.vm: member for member in candidates if lease.identify(member) not in failed}
     even = len(view.members) % 2 == 0 and bool(view.members)
     if view.witness is not None:
-        known = usable.get(view.witness.vm)
-        replaced = lease.identify(view.witness) in failed or (known is not None and known != view.witness)
+        # A witness that has left its own view is about to stop.
+        replaced = usable.get(view.witness.vm) != view.witness
         return with_witness(view, None) if not even or (replaced and usable) else None
     if not even or not usable:
         return None
