--- a/src/currantlead/border/server.py
+++ b/src/currantlead/border/server.py
@@ -146,6 +146,7 @@
         operator_key_digest: str = "",
         command: Callable[[str], dict[str, Any]] | None = None,
         threads: int = 32,
+        connections: int = listener.KEEP_ALIVE_CONNECTIONS,
         client_timeout_s: float = 10.0,
         request_timeout_s: float = 30.0,
         metrics: Metrics | None = None,
@@ -161,6 +162,7 @@
             operator_key_digest: SHA-256 of the operator key in hexadecimal; empty refuses all commands.
             command: Executes the text of commands and returns the answer; raises ``errors.CommandError``.
             threads: Worker threads of the caller port.
+            connections: Callers' connections that are kept open at once.
             client_timeout_s: Longest time to read a request or write an answer, and the longest idle time.
             request_timeout_s: Longest time of one request in the proxy.
             metrics: Counts requests; made on a new registry by default.
@@ -179,6 +181,7 @@
         operators = _cptree.Tree()
         operators.graft(_Operators(operator_key_digest, command), "")
         self._callers = self._listener(address, self._tree, threads, client_timeout_s, request_timeout_s)
+        self._callers.keep_alive_conn_limit = connections
         self._operators = self._listener(operator_address, operators, 2, client_timeout_s, request_timeout_s)
         self._threads: list[threading.Thread] = []
 
--- a/src/currantlead/daemon.py
+++ b/src/currantlead/daemon.py
@@ -155,6 +155,7 @@
             operator_key_digest=keys.digest(checked.operator_key),
             command=node.run_on_loop(self.node, run, COMMAND_TIMEOUT_S),
             threads=checked.threads,
+            connections=checked.connections,
             request_timeout_s=checked.request_timeout + 1.0,
             metrics=server.Metrics(prometheus_client.REGISTRY),
         )
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import http.client
 import json
 import socket
 import threading
@@ -264,3 +265,23 @@
     with site.connect() as connection:
         connection.sendall(request(1, path="/operators/commands"))
         assert answer(connection)[0] == 404
+
+
+def test_limit_of_kept_connections_follows_the_setting():
+    """Guards against a setting that is accepted but changes nothing: surplus connections close with their answer."""
+    loop = asyncio.new_event_loop()
+    border = server.Border(rates.Echo(), server.run_on(loop), tree=_cptree.Tree(), threads=4, connections=1)
+    border.start()
+    border.ready()
+    held = [http.client.HTTPConnection(*border.address, timeout=5) for _ in range(3)]
+    closed = []
+    for connection in held:
+        connection.request("GET", "/health")
+        answer = connection.getresponse()
+        answer.read()
+        closed.append(answer.getheader("Connection") == "close")
+    for connection in held:
+        connection.close()
+    border.stop()
+    loop.close()
+    assert not closed[0] and closed[-1]
--- a/tools/capacity_roles.py
+++ b/tools/capacity_roles.py
@@ -64,15 +64,16 @@
     resident = _line(stored, "idle_daemon", "resident")
     memory = resident.at(_T.databases) - stored["idle_daemon"]["points"][0]["resident"]
     apply_s = _line(stored, "apply_change", "seconds").at(_T.organisations)
-    received = relay.RELAYS * CHANGES_S * _push_bytes(stored)
+    # The relays share the members, so each change is pushed to a VM once.
+    received = CHANGES_S * _push_bytes(stored)
     state = f"{_T.organisations:,} organisations, {_T.databases} groups, {_T.domains} views"
-    messages = f"{relay.RELAYS * CHANGES_S:.3f} pushes/s received"
+    messages = f"{CHANGES_S:.3f} pushes/s received"
     return Cost("every VM", "shared state", "control/directory", state, messages, CHANGES_S * apply_s, received, memory)
 
 
 def _push_bytes(stored: Stored) -> float:
-    """Return the bytes of one push to one VM."""
-    return _line(stored, "fan_out", "bytes").slope
+    """Return the bytes of one push to one VM; a relay pushes to its half of the members."""
+    return _line(stored, "fan_out", "bytes").slope * relay.RELAYS
 
 
 def join_cost(stored: Stored, value: str, count: int) -> float:
@@ -93,7 +94,7 @@
 
 def _relay(stored: Stored) -> Cost:
     line = _line(stored, "fan_out", "seconds")
-    messages = f"{CHANGES_S * (_T.members - 1):.1f} pushes/s sent, 4 waiting watches"
+    messages = f"{CHANGES_S * _T.members / relay.RELAYS:.1f} pushes/s sent, 4 waiting watches"
     sent = CHANGES_S * _line(stored, "fan_out", "bytes").at(_T.members)
     core = CHANGES_S * line.at(_T.members)
     return Cost("configuration relay", "fan-out", "control/relay", "revision of each kind", messages, core, sent)
--- a/tools/slopes_processes.py
+++ b/tools/slopes_processes.py
@@ -79,9 +79,12 @@
     peers = network.Network("domain-0-vm-000", "domain-0")
     await peers.start()
     cache = sizes.fill(directory.Directory(time.monotonic), sizes.TARGET)
-    part = relay.Relay(memory.MemoryPlatform(), cache, peers, timers.ManualTimers(), placement.rank)
+    # The names in order make this VM the first of the two relays, which share the members.
+    part = relay.Relay(memory.MemoryPlatform(), cache, peers, timers.ManualTimers(), lambda key, names: sorted(names))
     peers.learn(others)
-    cache._records["views"] = {"domain-0": model.View("domain-0", 9, (peers.member, *others), None, 9)}
+    view = model.View("domain-0", 9, (peers.member, *others), None, 9)
+    cache._records["views"] = {"domain-0": view}
+    targets = len(relay.targets_of(0, view, peers.member.vm))
     part._role.set()
     for vm in others:
         await peers.request(vm.vm, "objects", {}, timeout_s=5)
@@ -100,15 +103,17 @@
     arrived = sorted(await asyncio.to_thread(pipe.recv))[count - 1 :]
     await peers.stop()
     await asyncio.to_thread(process.join, 10)
-    if len(arrived) != changes * (count - 1):
-        raise RuntimeError(f"{len(arrived)} frames arrived instead of {changes * (count - 1)}")
-    delays = [arrived[(each + 1) * (count - 1) - 1] - at for each, at in enumerate(begun)]
+    if len(arrived) != changes * targets:
+        raise RuntimeError(f"{len(arrived)} frames arrived instead of {changes * targets}")
+    delays = [arrived[(each + 1) * targets - 1] - at for each, at in enumerate(begun)]
     sent = (peers.bytes_sent - sent) / changes
     return {"x": count, "seconds": spent / changes, "bytes": sent, "delay_s": max(delays)}
 
 
 @measurements.register(
-    "fan_out", x="members", how="A relay pushes a changed part and the index to its domain; receivers in a process."
+    "fan_out",
+    x="members",
+    how="A relay pushes a changed part and the index to its half of the domain.",
 )
 def measure_fan_out() -> list[measurements.Point]:
     """Vary the members of the relay's domain."""
