Configure rate ledgers only when the domain's share changed

Cause: the check for a share that rises by time alone configured every known ledger twice a second, which is periodic work over all organisations. Change: the check compares the domain's share first; changes of objects configure the ledgers as before. Result: behaviour is the same; the tests of the service, shares, rate machine, refusals and pairs of failures pass.

--- a/src/currantlead/admission/owner.py
+++ b/src/currantlead/admission/owner.py
@@ -94,6 +94,11 @@
         used = self._clock.now() - account.used_at
         return not (ledger.has_grants or ledger.loans) and used > BALANCE_MEMORY_S
 
+    def share(self) -> float:
+        """Return this domain's part of all rates, from 0 to 1."""
+        known = self._directory
+        return self.division.limits(known.shares, known.views, self._clock.now(), 1.0, 0.0)[0]
+
     def limits(self, organisation: str) -> tuple[float, int]:
         """Return this domain's part of an organisation's rate and burst."""
         known = self._directory
--- a/src/currantlead/admission/service.py
+++ b/src/currantlead/admission/service.py
@@ -85,6 +85,7 @@
         self._subscriptions: list[timers.Subscription] = []
         self._tasks: set[asyncio.Task[Any]] = set()
         peers.handler(exchange.KIND)(self._handle)
+        self._share: float | None = None
         directory.subscribe(self._changed)
 
     def start(self) -> None:
@@ -304,7 +305,10 @@
 
     async def _confirm(self) -> None:
         """Adopt a share that rises by time alone, and confirm a falling one once this domain has adopted it."""
-        self._changed("shares", "current")
+        share = self._owner.share()
+        if share != self._share:
+            self._share = share
+            self._changed("shares", "current")
         division = self._directory.shares
         if self._platform is None or not self._owner.division.must_confirm(division):
             return
