Answer a request that arrived while the session was being closed

The end of input is now queued behind what has arrived, and a transaction keeps its session until it ends. Waiting for an instance is bounded by a quarter of the objective.

--- a/src/currantlead/sessions/execution.py
+++ b/src/currantlead/sessions/execution.py
@@ -7,8 +7,9 @@
 from currantlead.platform import lines
 from currantlead.sessions import clock, fleet, freshness, link, model, placement, pool, statements
 
-HOLD_SHARE = 0.5
-"""Share of a statement's time that it may wait for an instance; the caller then has time for another attempt."""
+HOLD_SHARE = 0.24
+"""Share of an operation's response-time objective that it may wait for an instance; a refusal later than a quarter of
+the objective leaves the caller too little time for another attempt."""
 PATIENCE_SHARE = 0.35
 """Share of a read's time after which a silent instance is given up for another one."""
 ROLLBACK_TIMEOUT_S = 1.0
@@ -187,7 +188,7 @@
 
     async def _attempt(self, context: Context, request_id: str, *, writes: bool, deadline: float, use) -> Outcome:
         """Try instances until one serves, refuses for good, or the time to wait is over."""
-        hold_until = clock.now() + context.route.timeout_s * HOLD_SHARE
+        hold_until = clock.now() + min(context.route.target_s, context.route.timeout_s) * HOLD_SHARE
         tried: set[str] = set()
         last = Outcome.refused(statements.Code.BUSY, "no instance")
         while True:
--- a/src/currantlead/sessions/session.py
+++ b/src/currantlead/sessions/session.py
@@ -64,12 +64,14 @@
         read_only: Whether the caller announced that it only reads.
         lease: The connection, or None before the first statement.
         failed: Whether a statement failed; only its end is accepted then.
+        aborted: Whether the VM leaves and refuses further statements.
     """
 
     context: execution.Context
     read_only: bool
     lease: execution.Lease | None = None
     failed: bool = False
+    aborted: bool = False
 
 
 class Session:
@@ -97,7 +99,8 @@
         self._prepared: dict[str, tuple[bool, str]] = {}
         self._transaction: _Transaction | None = None
         self._own_position: model.Position | None = None
-        self._closing = False
+        self._ended = False
+        self._leaving = False
         self._grant = Grant("", "", "")
         self._handlers: dict[statements.Kind, Callable[[statements.Query, float], Awaitable[None]]] = {
             statements.Kind.BEGIN: self._begin,
@@ -121,7 +124,7 @@
         """Answer the caller's messages until the session ends."""
         try:
             if await self._start():
-                while not self._closing:
+                while not self._ended and not (self._leaving and self._transaction is None):
                     await self._next()
         except (OSError, asyncio.IncompleteReadError) as error:
             _log.debug("caller left: {!r}", error)
@@ -130,15 +133,18 @@
             self._writer.close()
 
     def close_when_idle(self) -> None:
-        """Close the session now if it is idle, otherwise after the answer that leaves it idle."""
-        self._closing = True
+        """Close the session now if it is idle, otherwise after the answer that leaves it idle.
+
+        A request that has arrived but was not looked at yet is still answered: the end of input comes after it.
+        """
+        self._leaving = True
         if self.idle:
-            self._writer.close()
+            self._reader.feed_eof()
 
     def abort_transaction(self) -> None:
         """Let the open transaction fail with its next statement, so that the session can end."""
         if self._transaction is not None:
-            self._transaction.failed = True
+            self._transaction.aborted = True
 
     async def _start(self) -> bool:
         async with asyncio.timeout(START_TIMEOUT_S):
@@ -169,7 +175,7 @@
         if isinstance(message, statements.Query):
             await self._handlers[message.statement.kind](message, clock.now())
         elif isinstance(message, statements.End):
-            self._closing = True
+            self._ended = True
         else:
             detail = message.detail if isinstance(message, statements.Malformed) else "unexpected START"
             await self._refuse(statements.Failure(statements.Code.MALFORMED, detail))
@@ -195,7 +201,7 @@
         except asyncio.LimitOverrunError:
             self._fail(statements.Failure(statements.Code.TOO_LARGE, "message over the limit"))
             await self._writer.drain()
-            self._closing = True
+            self._ended = True
             return None
         return line[: -len(lines.LINE_END)]
 
@@ -312,6 +318,8 @@
     async def _inside(self, transaction: _Transaction, query: statements.Query) -> execution.Outcome:
         """Run a statement of the transaction, on a connection taken before if there is none yet."""
         context = transaction.context
+        if transaction.aborted:
+            return execution.Outcome.refused(statements.Code.ABORTED, "this VM is leaving")
         refusal = context.refuse()
         if refusal is not None:
             return execution.Outcome((), refusal)
