--- a/src/currantlead/platform/objects.py
+++ b/src/currantlead/platform/objects.py
@@ -253,6 +253,20 @@
         return None
 
 
+def encode_duty(holder: str, previous: int) -> dict[str, Any]:
+    """Return the entry of a duty's holder.
+
+    The revision of the entry before is part of it, because a replacement that changes nothing gets no new revision.
+    """
+    return {"holder": holder, "previous": previous}
+
+
+def decode_duty(stored: Stored) -> str:
+    """Return the holder of a duty; empty if the entry has another form."""
+    value = stored.value
+    return str(value.get("holder", "")) if isinstance(value, Mapping) else ""
+
+
 def decode_name(stored: Stored) -> str:
     """Return the name of an object whose value does not matter."""
     return stored.name
--- a/src/currantlead/sessions/daemon.py
+++ b/src/currantlead/sessions/daemon.py
@@ -203,6 +203,22 @@
             self.store.follow(store.Follower(objects.MEMBERS, STATE_WAIT_S, self._list_members, self._change_members))
         )
 
+        if self.succession is not None:
+            self._spawn(
+                self.store.follow(
+                    store.Follower(
+                        objects.DUTIES,
+                        STATE_WAIT_S,
+                        self._see_duties,
+                        lambda present, removed: self._see_duties(present),
+                    )
+                )
+            )
+
+    def _see_duties(self, present: tuple[objects.Stored, ...]) -> None:
+        for stored in present:
+            self.succession.duty_seen(stored.name, objects.decode_duty(stored), stored.revision)
+
     def _configurations_listed(self, present: tuple[objects.Stored, ...]) -> None:
         for stored in present:
             if stored.name == objects.CONFIGURATION_NAME and stored.revision > self.configuration.revision:
--- a/src/currantlead/sessions/succession.py
+++ b/src/currantlead/sessions/succession.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import dataclasses
 from collections.abc import Callable
 
 from currantlead import errors, logs
@@ -27,6 +28,15 @@
 _codec = lines.InstanceLines()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Duty:
+    """Hold a duty's entry, and the reading at which this VM first saw it."""
+
+    holder: str
+    revision: int
+    seen_at: float
+
+
 class Succession:
     """Watch the primaries of all services, and replace one when it is this VM's turn."""
 
@@ -49,6 +59,13 @@
         self._needed_since: dict[str, tuple[str, float]] = {}
         self._next_try: dict[str, float] = {}
         self._running: dict[str, asyncio.Task[None]] = {}
+        self._duties: dict[str, _Duty] = {}
+
+    def duty_seen(self, service: str, holder: str, revision: int) -> None:
+        """Take note of a duty's entry; a change of it starts the turn of its holder."""
+        known = self._duties.get(service)
+        if known is None or revision > known.revision:
+            self._duties[service] = _Duty(holder, revision, clock.now())
 
     async def run(self) -> None:
         """Check every service again and again, until cancelled."""
@@ -157,15 +174,20 @@
 
     async def _take_duty(self, service: str) -> int | None:
         """Enter this VM as the holder of a service's duty; the entry's new revision is the generation number."""
-        value = {"holder": self._vm}
         found = await self._store.read(objects.DUTIES, service)
         if found is None:
-            stored = await self._store.create(objects.DUTIES, service, value)
+            stored = await self._store.create(objects.DUTIES, service, objects.encode_duty(self._vm, 0))
         else:
-            # A replacement that changes nothing gets no new revision.
-            value["previous"] = str(found.revision)
+            self.duty_seen(service, objects.decode_duty(found), found.revision)
+            duty = self._duties[service]
+            if duty.holder != self._vm and clock.now() - duty.seen_at < election.TURN_S:
+                return None
+            value = objects.encode_duty(self._vm, found.revision)
             stored = await self._store.replace(objects.DUTIES, service, value, found.revision)
-        return None if stored is None else stored.revision
+        if stored is None:
+            return None
+        self.duty_seen(service, self._vm, stored.revision)
+        return stored.revision
 
     async def _resume(self, service: str, generation: int, opened: list[link.Link]) -> None:
         """Let replicas receive again, unless another VM has taken the duty: it may rely on their pause."""
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -109,3 +109,25 @@
     await asyncio.sleep(1.0)
     assert bed.store.promotions == []
     assert all(instance.held_term == 0 for instance in bed.service.instances.values())
+
+
+async def test_no_second_order_while_another_vm_has_its_turn(bed):
+    """A promotion takes effect after its order; a second one then rolls back commits (LOST on cantabrico scale-2)."""
+    bed.store.put("duties", "svc1", {"holder": "vm-9", "previous": 0})
+    bed.register("i-1", state="draining")
+    await asyncio.sleep(2.0)
+    assert bed.store.promotions == []
+    assert all(instance.held_term == 0 for instance in bed.service.instances.values())
+    await until(lambda: bed.service.primary != "i-1")
+
+
+async def test_vm_that_has_the_duty_may_act_again(bed):
+    """The holder's own entry starts no turn of another VM."""
+    bed.register("i-1", state="draining")
+    await until(lambda: bed.service.primary != "i-1")
+    first = bed.service.primary
+    bed.register("i-1", state="ready")
+    await asyncio.sleep(0.7)
+    bed.register(first, state="draining")
+    await until(lambda: bed.service.primary != first, 2.5)
+    assert bed.store.promotions[0][3] < bed.store.promotions[1][3]
