--- a/src/currantlead/sessions/election.py
+++ b/src/currantlead/sessions/election.py
@@ -9,8 +9,8 @@
 RANK_DELAY_S = 0.7
 """VMs act one after another, so that the first is done (about 0.5 s) before the next begins."""
 TURN_S = 3.0
-"""After another VM took the duty it has this long: a promotion takes effect up to a second after its order, and a second
-order in between would roll back what the new primary has committed since."""
+"""After another VM took the duty it has this long: an order takes effect up to a second later, and a second order
+in between would roll back what the new primary has committed since."""
 SILENT_S = 0.8
 """A primary that gave no good answer for this long is asked for its status, and replaced if that fails too."""
 STUCK_S = 1.2
