--- a/src/currantlead/platform/boot.py
+++ b/src/currantlead/platform/boot.py
@@ -10,6 +10,8 @@
 
 PATH_VARIABLE = "CURRANTLEAD_CONFIG"
 """Environment variable that holds the path of the settings file."""
+METRICS_PORT = 9464
+"""Port that `deploy/system.toml` names for metrics; the usual one of exporters of this format."""
 
 
 class _Reader:
@@ -109,6 +111,7 @@
         region_of=reader.get("zones", _regions, {}),
         callers=reader.get("listen.front", _address),
         readiness=reader.get("listen.ready", _address),
+        metrics=settings.Address(host, METRICS_PORT),
         peers=settings.Address(host, reader.get("internalPorts", _first_port, 0)),
         store=reader.get("platform.addr", _address),
         promotions=reader.get("cloudApi.addr", _address, required=False),
--- a/src/currantlead/sessions/__main__.py
+++ b/src/currantlead/sessions/__main__.py
@@ -9,6 +9,11 @@
 from currantlead.platform import boot
 from currantlead.sessions import daemon
 
+LOG_LINES_PER_S = 200
+"""Lines of one part in a second; five times what a VM of today's deployments writes on a busy day."""
+ALWAYS_LOGGED = ("daemon", "store", "fleet", "succession", "platform")
+"""Parts that decide rarely and change what the process believes."""
+
 
 def main() -> int:
     """Run the daemon and return the exit code: 2 for faulty settings."""
@@ -19,7 +24,8 @@
         for fault in getattr(error, "faults", [str(error)]):
             sys.stderr.write(f"error: {path}: {fault}\n")
         return 2
-    logs.configure(json_lines=True, vm=checked.vm, buffered=True)
+    bound = logs.Bound(sys.stdout.fileno(), LOG_LINES_PER_S, ALWAYS_LOGGED)
+    logs.configure(json_lines=True, vm=checked.vm, buffered=True, bound=bound)
     asyncio.run(daemon.Daemon.from_config(checked).run())
     logs.flush()
     return 0
--- a/src/currantlead/sessions/daemon.py
+++ b/src/currantlead/sessions/daemon.py
@@ -1,6 +1,7 @@
 """Compose the parts of a VM that serves long-lived sessions, and run them until a planned stop."""
 
 import asyncio
+import functools
 import signal
 
 from currantlead import errors, logs
@@ -13,6 +14,7 @@
     fleet,
     freshness,
     loans,
+    measures,
     model,
     pool,
     readiness,
@@ -29,8 +31,7 @@
 """Wait of the other watches; one that has fallen silent is restarted with the configuration's."""
 HOUSEKEEPING_S = 0.25
 LOG_FLUSH_S = 0.2
-LOG_LINES_PER_S = 200
-"""Lines of one part beyond this rate are counted instead of written."""
+METRICS_PATH = "/metrics"
 SPARE_CONNECTIONS = 1
 """Connections of each instance that stay free for promotions."""
 ROTATION_S = 2.2
@@ -56,13 +57,15 @@
         self.allowances = allowance.Allowances()
         self.peers = loans.Peers(model.Member(checked.vm, checked.peers.host, checked.peers.port))
         self.lender = loans.Lender(self.allowances, self.peers)
-        self.store = store.Store(checked.store)
+        self.measures = measures.Measures()
+        self.store = store.Store(checked.store, self._count_store)
         self.executor = execution.Executor(
             self.fleet,
             self.samples,
             self._pool_of,
             domain=checked.domain,
             region=checked.region_of.get(checked.domain, ""),
+            measured=self.measures,
         )
         self.succession = (
             succession.Succession(self.fleet, self.store, checked.promotions, vm=checked.vm, members=self.peers.names)
@@ -89,8 +92,10 @@
             loop.add_signal_handler(number, stop.set)
         loop.add_signal_handler(signal.SIGHUP, lambda: _log.info("settings are read at the next start"))
         await self.lender.start(self.settings.peers)
-        answering = readiness.Readiness(self.is_ready, lambda: "", "/metrics")
+        answering = readiness.Readiness(self.is_ready, self.measures.render, METRICS_PATH)
         self._servers.append(await answering.start(self.settings.readiness))
+        self._servers.append(await answering.start(self.settings.metrics))
+        self._watch_gauges()
         callers = self.settings.callers
         server = await asyncio.start_server(
             self._accept, callers.host, callers.port, limit=lines.MAX_MESSAGE_BYTES, backlog=ACCEPT_BACKLOG
@@ -106,6 +111,26 @@
         await stop.wait()
         await self._leave(server)
 
+    def _count_store(self, result: str) -> None:
+        self.measures.count("store_calls", result=result)
+
+    def _watch_gauges(self) -> None:
+        """Let metrics show what this VM believes, and how old that is."""
+        plain = ()
+        self.measures.watch("ready", lambda: {plain: float(self.is_ready())})
+        self.measures.watch("sessions", lambda: {plain: float(len(self.sessions))})
+        self.measures.watch("members", lambda: {plain: float(self.peers.count)})
+        self.measures.watch("configuration_version", lambda: {plain: float(self.configuration.version)})
+        self.measures.watch("configuration_age_seconds", lambda: {plain: self.confirmation.age_s(clock.now())})
+        for name in ("busy", "idle", "waiting", "limit"):
+            self.measures.watch(f"pool_{name}", functools.partial(self._read_pools, name))
+
+    def _read_pools(self, name: str) -> dict[measures.Labels, float]:
+        return {
+            (("instance", instance_id),): float(getattr(connections, name))
+            for instance_id, connections in self._pools.items()
+        }
+
     async def close(self) -> None:
         """End all tasks and close all connections at once."""
         for task in list(self._tasks):
@@ -160,7 +185,12 @@
 
     async def admit(self, grant: session.Grant) -> bool:
         """Count one operation against the organisation's rate; return whether it may run."""
-        return not grant.organisation or await self.lender.admit(grant.organisation)
+        if not grant.organisation:
+            return True
+        admitted = await self.lender.admit(grant.organisation)
+        result = "admitted" if admitted else "over_rate"
+        self.measures.count("admissions", organisation=grant.organisation, result=result)
+        return admitted
 
     def give_back(self, grant: session.Grant) -> None:
         """Return the token of an operation that did not run."""
@@ -299,7 +329,9 @@
     # Callers
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        served = session.Session(reader, writer, self, self.executor, lambda: self.configuration.transaction_idle_s)
+        served = session.Session(
+            reader, writer, self, self.executor, lambda: self.configuration.transaction_idle_s, self.measures
+        )
         self.sessions.add(served)
         try:
             await served.serve()
--- a/src/currantlead/sessions/execution.py
+++ b/src/currantlead/sessions/execution.py
@@ -5,7 +5,7 @@
 
 from currantlead import errors, logs
 from currantlead.platform import lines
-from currantlead.sessions import clock, fleet, freshness, link, model, placement, pool, statements
+from currantlead.sessions import clock, fleet, freshness, link, measures, model, placement, pool, statements
 
 HOLD_SHARE = 0.24
 """Share of an operation's response-time objective that it may wait for an instance; a refusal later than a quarter of
@@ -95,6 +95,7 @@
         return self.result if isinstance(self.result, statements.Failure) else None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
 class Target:
     """Say where a statement may run, and under which proof of freshness.
 
@@ -102,12 +103,13 @@
         known: The instance.
         pool: Its connections here.
         after: Position that its log must have; None where the instance has to prove that it leads.
+        sampled_at: Reading at which the position was asked for, or None without a position.
     """
 
-    def __init__(self, known: fleet.Known, connections: pool.Pool, after: model.Position | None):
-        self.known = known
-        self.pool = connections
-        self.after = after
+    known: fleet.Known
+    pool: pool.Pool
+    after: model.Position | None
+    sampled_at: float | None = None
 
 
 class Executor:
@@ -121,7 +123,9 @@
         *,
         domain: str,
         region: str,
+        measured: measures.Measures,
     ):
+        self._measures = measured
         self._fleet = known
         self._samples = samples
         self._pool_of = pool_of
@@ -229,6 +233,7 @@
                 tried.add(instance.id)
                 continue
             outcome = await self._use(context, request_id, target, lent, use, writes, deadline)
+            self._report(context, request_id, target, outcome, lent_after_s=clock.now() - now)
             if outcome is None or self._try_elsewhere(outcome, target):
                 last = outcome or Outcome.refused(statements.Code.TIMEOUT, f"{instance.id} did not answer")
                 tried.add(instance.id)
@@ -272,6 +277,28 @@
             self._fleet.note_write(instance.id, answered=True)
         return outcome
 
+    def _report(
+        self, context: Context, request_id: str, target: Target, outcome: Outcome | None, *, lent_after_s: float
+    ) -> None:
+        """Write down one attempt with what decided it."""
+        result = _name(outcome)
+        now = clock.now()
+        _log.bind(
+            request=request_id,
+            database=context.route.database,
+            organisation=context.organisation,
+            instance=target.known.instance.id,
+            proof="lead" if target.after is None else str(target.after),
+            sample_age_ms=None if target.sampled_at is None else round((now - target.sampled_at) * 1000),
+            entry_revision=target.known.instance.revision,
+            attempt_ms=round(lent_after_s * 1000, 1),
+            since_arrival_ms=round((now - context.began_at) * 1000, 1),
+        ).info(result)
+        self._measures.count("attempts", instance=target.known.instance.id, result=result)
+        if target.sampled_at is not None:
+            margin_s = context.route.max_staleness_s - (context.began_at - target.sampled_at)
+            self._measures.record("freshness_margin", margin_s, consistency=context.route.consistency.value)
+
     def _try_elsewhere(self, outcome: Outcome, target: Target) -> bool:
         """Note what a refusal shows, and tell whether another attempt may succeed."""
         failure, instance = outcome.failure, target.known.instance
@@ -290,7 +317,7 @@
             sample = self._samples.oldest_since(service, context.began_at - context.route.max_staleness_s)
             if sample is not None:
                 after = max(sample.position, context.own_position or sample.position)
-                return self._choose_reader(context, after, tried, now)
+                return self._choose_reader(context, after, sample.asked_at, tried, now)
         primary = self._fleet.primary(service)
         if primary is None or primary.instance.id in tried or not self._fleet.takes_primary_work(primary):
             return None
@@ -298,7 +325,9 @@
             return None
         return Target(primary, self._pool_of(primary.instance), None)
 
-    def _choose_reader(self, context: Context, after: model.Position, tried: set[str], now: float) -> Target | None:
+    def _choose_reader(
+        self, context: Context, after: model.Position, sampled_at: float, tried: set[str], now: float
+    ) -> Target | None:
         primary = self._fleet.primary(context.route.service)
         usable = {}
         candidates = []
@@ -309,7 +338,7 @@
                 continue
             connections = self._pool_of(known.instance)
             behind = known.behind is not None and known.behind[0] <= after and now < known.behind[1]
-            usable[known.instance.id] = Target(known, connections, after)
+            usable[known.instance.id] = Target(known, connections, after, sampled_at)
             candidates.append(
                 placement.Candidate(
                     id=known.instance.id,
@@ -398,6 +427,12 @@
             self._samples.record(context.route.service, reply.asked_at, reply.position)
 
 
+def _name(outcome: Outcome | None) -> str:
+    if outcome is None:
+        return "unanswered"
+    return "ran" if outcome.failure is None else outcome.failure.code.value
+
+
 def _writes(context: Context, statement: statements.Statement) -> bool:
     if statement.kind is statements.Kind.EXECUTE:
         return context.prepared[statement.name][0]
--- a/src/currantlead/sessions/session.py
+++ b/src/currantlead/sessions/session.py
@@ -7,7 +7,7 @@
 
 from currantlead import errors, logs
 from currantlead.platform import lines
-from currantlead.sessions import clock, execution, model, statements
+from currantlead.sessions import clock, execution, measures, model, statements
 
 START_TIMEOUT_S = 5.0
 """A caller that connects and sends nothing is dropped after this time."""
@@ -88,8 +88,10 @@
         gate: Gate,
         executor: execution.Executor,
         transaction_idle_s: Callable[[], float],
+        measured: measures.Measures,
     ):
         self.idle = False
+        self._measures = measured
         self._reader = reader
         self._writer = writer
         self._gate = gate
@@ -396,17 +398,24 @@
         began_at: float,
         outcome: execution.Outcome,
     ) -> None:
-        consistency = context.route.consistency.value if isinstance(context, execution.Context) else ""
+        """Count the outcome; write it down if it is no success, which the attempts already tell."""
+        consistency = context.route.consistency.value if isinstance(context, execution.Context) else "none"
         failure = outcome.failure
-        _log.bind(
-            request=query.id,
-            kind=query.statement.kind.value,
-            database=self._grant.database,
-            organisation=self._grant.organisation,
-            consistency=consistency,
-            position=str(outcome.position or "-"),
-            ms=round((clock.now() - began_at) * 1000, 1),
-        ).info("served" if failure is None else f"failed: {failure.code.value} {failure.detail}")
+        took_s = clock.now() - began_at
+        kind = query.statement.kind.value
+        self._measures.count(
+            "statements", kind=kind, consistency=consistency, result="ok" if failure is None else failure.code.value
+        )
+        self._measures.record("statement", took_s, consistency=consistency)
+        if failure is not None:
+            _log.bind(
+                request=query.id,
+                kind=kind,
+                database=self._grant.database,
+                organisation=self._grant.organisation,
+                consistency=consistency,
+                ms=round(took_s * 1000, 1),
+            ).info("failed: {} {}", failure.code.value, failure.detail)
 
 
 def _unknown(name: str) -> statements.Failure:
--- a/src/currantlead/sessions/settings.py
+++ b/src/currantlead/sessions/settings.py
@@ -48,6 +48,7 @@
         region_of: Region of each failure domain.
         callers: Address that callers connect to.
         readiness: Address that answers whether this VM takes new sessions.
+        metrics: Address that serves metrics.
         peers: Address for datagrams between VMs.
         store: Address of the platform's store.
         promotions: Address that takes promotion calls.
@@ -61,6 +62,7 @@
     region_of: Mapping[str, str]
     callers: Address
     readiness: Address
+    metrics: Address
     peers: Address
     store: Address
     promotions: Address | None
--- a/tests/session_bed.py
+++ b/tests/session_bed.py
@@ -106,6 +106,7 @@
             region_of={"z1": "r1", "z2": "r2", "z3": "r3"},
             callers=settings.Address("127.0.0.1", free_port()),
             readiness=settings.Address("127.0.0.1", free_port()),
+            metrics=settings.Address("127.0.0.1", free_port()),
             peers=settings.Address("127.0.0.1", free_port(socket.SOCK_DGRAM)),
             store=settings.Address("127.0.0.1", self.store.port),
             promotions=settings.Address("127.0.0.1", self.store.port),
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,6 +1,8 @@
 """Tests of log output: form of the lines, and that buffered lines are not lost."""
 
+import contextlib
 import json
+import os
 import subprocess
 import sys
 
@@ -83,3 +85,48 @@
     logs.part("border").info("left out")
     assert logs.recent()[-1][1:] == ("holder", "kept")
     assert len(logs.recent()[-1][0]) == len("12:00:00.000")
+
+
+def test_lines_beyond_the_rate_are_counted_instead_of_written():
+    """A flood of one part neither fills the pipe nor hides the lines that matter."""
+    reader, writer = os.pipe()
+    bound = logs.Bound(writer, 3, always=["succession"])
+    logs.configure(json_lines=True, bound=bound)
+    for number in range(10):
+        logs.part("session").info("line {}", number)
+    logs.part("succession").info("promoted")
+    logs.part("session").warning("store lost")
+    logs.flush()
+    messages = [json.loads(line)["message"] for line in os.read(reader, 65536).splitlines()]
+    assert messages == ["line 0", "line 1", "line 2", "promoted", "store lost"]
+    assert bound.dropped["session"] == 7
+
+
+def test_count_of_left_out_lines_comes_with_a_later_line():
+    """What was left out is told, so that a gap is no proof that nothing happened."""
+    reader, writer = os.pipe()
+    bound = logs.Bound(writer, 1)
+    bound.dropped["session"] = 4
+    logs.configure(json_lines=True, bound=bound)
+    logs.part("session").info("served")
+    logs.flush()
+    assert json.loads(os.read(reader, 65536))["left_out"] == 4
+
+
+def test_full_pipe_drops_whole_lines_and_does_not_block():
+    """A reader that has stopped costs lines, not the service."""
+    reader, writer = os.pipe()
+    bound = logs.Bound(writer, 10**9)
+    logs.configure(json_lines=True, buffered=True, bound=bound)
+    for _ in range(8000):
+        logs.part("session").info("x" * 100)
+    logs.flush()
+    assert bound.lost_bytes > 0
+    os.set_blocking(reader, False)
+    read = b""
+    for _ in range(40):
+        with contextlib.suppress(BlockingIOError):
+            read += os.read(reader, 1 << 20)
+        logs.flush()
+    lines = read.splitlines()
+    assert all(json.loads(line)["part"] == "session" for line in lines)
