Confirm the configuration on time after a change, and let one follower probe a lost store

The next wait now ends when the last one would have. While the store is away only the configuration's follower asks, every 0.4 s.

--- a/src/currantlead/sessions/daemon.py
+++ b/src/currantlead/sessions/daemon.py
@@ -25,15 +25,20 @@
     succession,
 )
 
-CONFIGURATION_WAIT_S = 2.5
+CONFIGURATION_WAIT_S = 2.0
 """Wait of a configuration watch: its answer confirms the keys well before the age limit of 3.8 s."""
-STATE_WAIT_S = 10.0
-"""Wait of the other watches; one that has fallen silent is restarted with the configuration's."""
+STATE_WAIT_S = 20.0
+"""Wait of the other watches; keep-alive probes end one that has fallen silent after 4 s."""
 HOUSEKEEPING_S = 0.25
 LOG_FLUSH_S = 0.2
 METRICS_PATH = "/metrics"
 SPARE_CONNECTIONS = 1
 """Connections of each instance that stay free for promotions."""
+USED_SHARE = 0.6
+"""Share of an instance's connections that the VMs use: it keeps those of VMs without power for 3 s, and VMs that come
+back need some of their own meanwhile."""
+LEAST_CONNECTIONS = 2
+"""Connections of a VM to an instance, if all VMs can have that many: one alone is taken by a single transaction."""
 ROTATION_S = 2.2
 """The platform asks once a second and takes a VM out after two refusals; new sessions may come until then."""
 EXIT_MARGIN_S = 0.8
@@ -216,6 +221,7 @@
                     self._configurations_listed,
                     lambda present, removed: self._configurations_listed(present),
                     self.confirmation.confirm,
+                    probes=True,
                 )
             )
         )
@@ -298,14 +304,25 @@
 
     def _connection_limit(self, service: str) -> int:
         found = self.configuration.services.get(service)
-        return max(1, (found.connections - SPARE_CONNECTIONS) // self.peers.count) if found is not None else 1
+        if found is None:
+            return 1
+        usual = int(found.connections * USED_SHARE) // self.peers.count
+        least = min(LEAST_CONNECTIONS, (found.connections - SPARE_CONNECTIONS) // self.peers.count)
+        return max(1, usual, least)
+
+    def _refused(self, instance_id: str, error: errors.LinkRefusedError) -> None:
+        self.measures.count("connections", result="full" if error.overloaded else "refused")
+        if not error.overloaded:
+            self.fleet.suspect(instance_id, str(error))
 
     def _pool_of(self, instance: model.Instance) -> pool.Pool:
         found = self._pools.get(instance.id)
         if found is None or found.instance.born_ms != instance.born_ms:
             if found is not None:
                 found.close()
-            found = self._pools[instance.id] = pool.Pool(instance, self._connection_limit(instance.service))
+            found = self._pools[instance.id] = pool.Pool(
+                instance, self._connection_limit(instance.service), on_refused=self._refused
+            )
         return found
 
     def _close_unused_pools(self) -> None:
--- a/src/currantlead/sessions/store.py
+++ b/src/currantlead/sessions/store.py
@@ -11,8 +11,9 @@
 CALL_TIMEOUT_S = 0.8
 """A slow store answers in about 0.3 s; longer silence is taken for a lost connection."""
 RETRY_FIRST_S = 0.2
-RETRY_MOST_S = 0.8
+RETRY_MOST_S = 0.4
 """A VM that the store turned away asks again after at most this time, so that it is ready soon after the outage."""
+WAIT_LEAST_S = 0.05
 
 _log = logs.part("store")
 
@@ -27,6 +28,7 @@
         on_listed: Takes the whole list.
         on_changed: Takes the objects that changed and the names of those that were removed.
         on_confirmed: Takes a clock reading up to which the known state was the newest.
+        probes: Whether it asks again and again during an outage; the others wait until it has got through.
     """
 
     kind: str
@@ -34,6 +36,7 @@
     on_listed: Callable[[tuple[objects.Stored, ...]], None]
     on_changed: Callable[[tuple[objects.Stored, ...], tuple[str, ...]], None]
     on_confirmed: Callable[[float], None] = lambda at: None
+    probes: bool = False
 
 
 class Store:
@@ -44,6 +47,8 @@
         self._count = count
         self._calls = http.HttpClient(address)
         self._calling = asyncio.Lock()
+        self._available = asyncio.Event()
+        self._available.set()
 
     async def call(self, call: objects.Call, client: http.HttpClient | None = None, timeout_s: float = CALL_TIMEOUT_S):
         """Send a call and return its response.
@@ -116,22 +121,33 @@
         client = http.HttpClient(self._address)
         pause_s, connected = RETRY_FIRST_S, True
         revision: int | None = None
+        confirmed_at = clock.now()
         while True:
             try:
                 if revision is None:
-                    revision = await self._list(client, follower)
+                    revision, confirmed_at = await self._list(client, follower)
                     _log.bind(kind=follower.kind, revision=revision).info("listed")
                 else:
-                    revision = await self._watch(client, follower, revision)
+                    # A change ends a wait early and confirms only its start; the next wait makes up for that.
+                    wait_s = max(WAIT_LEAST_S, confirmed_at + follower.wait_s - clock.now())
+                    revision, confirmed_at = await self._watch(client, follower, revision, min(wait_s, follower.wait_s))
+                follower.on_confirmed(confirmed_at)
                 pause_s, connected = RETRY_FIRST_S, True
+                if follower.probes:
+                    self._available.set()
             except (errors.HttpUnavailableError, errors.PlatformUnavailableError, errors.MalformedObjectError) as error:
                 if connected:
                     _log.bind(kind=follower.kind).warning("store lost: {}", error)
                 connected, revision = False, None
+                if follower.probes:
+                    self._available.clear()
                 await asyncio.sleep(pause_s)
                 pause_s = min(RETRY_MOST_S, pause_s * 2)
+                if not follower.probes:
+                    await self._available.wait()
 
-    async def _list(self, client: http.HttpClient, follower: Follower) -> int:
+    async def _list(self, client: http.HttpClient, follower: Follower) -> tuple[int, float]:
+        """Read the whole list; return its revision, and the reading at which it was asked for."""
         asked_at = clock.now()
         found: list[objects.Stored] = []
         after, revision = "", None
@@ -147,24 +163,27 @@
             if not after:
                 break
         follower.on_listed(tuple(found))
-        follower.on_confirmed(asked_at)
-        return revision
+        return revision, asked_at
 
-    async def _watch(self, client: http.HttpClient, follower: Follower, revision: int) -> int | None:
+    async def _watch(
+        self, client: http.HttpClient, follower: Follower, revision: int, wait_s: float
+    ) -> tuple[int | None, float]:
+        """Wait for changes; return the revision to go on from, and up to when nothing else had changed.
+
+        The revision is None if the store no longer has the history.
+        """
         asked_at = clock.now()
-        call = objects.watch_call(follower.kind, revision, follower.wait_s)
-        response = await self.call(call, client, follower.wait_s + CALL_TIMEOUT_S)
+        call = objects.watch_call(follower.kind, revision, wait_s)
+        response = await self.call(call, client, wait_s + CALL_TIMEOUT_S)
         if response.status == objects.HISTORY_GONE:
             _log.bind(kind=follower.kind, revision=revision).info("history is gone, listing again")
-            return None
+            return None, float("-inf")
         if response.status != objects.OK:
             raise errors.PlatformUnavailableError(f"watching {follower.kind}: status {response.status}")
         page = objects.decode_page(response.body)
         if page.present or page.removed:
             follower.on_changed(page.present, page.removed)
-            follower.on_confirmed(asked_at)
-        else:
-            # An answer without events was made no earlier than the end of the wait that was asked for.
-            waited = clock.now() - asked_at >= follower.wait_s
-            follower.on_confirmed(asked_at + follower.wait_s if waited else asked_at)
-        return page.revision
+            return page.revision, asked_at
+        # An answer without events was made no earlier than the end of the wait that was asked for.
+        waited = clock.now() - asked_at >= wait_s
+        return page.revision, asked_at + wait_s if waited else asked_at
