--- a/src/currantlead/sessions/execution.py
+++ b/src/currantlead/sessions/execution.py
@@ -227,9 +227,7 @@
                 tried.add(instance.id)
                 continue
             except errors.LinkRefusedError as error:
-                if not error.overloaded:
-                    self._fleet.suspect(instance.id, str(error))
-                last = Outcome.refused(statements.Code.BUSY, f"{instance.id} refused a connection")
+                last = Outcome.refused(statements.Code.BUSY, str(error))
                 tried.add(instance.id)
                 continue
             outcome = await self._use(context, request_id, target, lent, use, writes, deadline)
--- a/src/currantlead/sessions/link.py
+++ b/src/currantlead/sessions/link.py
@@ -7,8 +7,8 @@
 from currantlead.platform import lines
 from currantlead.sessions import clock, model, sockets, statements
 
-CONNECT_TIMEOUT_S = 1.0
-"""One round trip between regions, the instance's handshake work and its queue."""
+CONNECT_TIMEOUT_S = 0.6
+"""Two round trips between regions (50 ms), the instance's handshake work (30 ms) and a queue for its slots."""
 
 codec = lines.InstanceLines()
 
@@ -40,20 +40,19 @@
         self._writer = writer
 
     @classmethod
-    async def connect(cls, instance: model.Instance, organisation: str, timeout_s: float) -> "Link":
+    async def connect(cls, instance: model.Instance, organisation: str) -> "Link":
         """Open a connection.
 
         Args:
             instance: The instance; its identity is checked by the instance itself.
             organisation: Name of the organisation that the instance is told.
-            timeout_s: Limit in seconds.
 
         Raises:
             errors.LinkRefusedError: The instance refused it or cannot be reached.
         """
         writer = None
         try:
-            async with asyncio.timeout(min(timeout_s, CONNECT_TIMEOUT_S)):
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 reader, writer = await asyncio.open_connection(
                     instance.host, instance.port, limit=lines.MAX_MESSAGE_BYTES + len(lines.LINE_END)
                 )
--- a/src/currantlead/sessions/pool.py
+++ b/src/currantlead/sessions/pool.py
@@ -13,36 +13,48 @@
 FULL_PAUSE_S = 0.3
 """After an instance reported that it is full, no further connection is tried for this long."""
 
-Opener = Callable[[model.Instance, str, float], Awaitable[link.Link]]
+Opener = Callable[[model.Instance, str], Awaitable[link.Link]]
+Refused = Callable[[str, errors.LinkRefusedError], None]
 
 _log = logs.part("pool")
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(eq=False, slots=True)
 class _Waiter:
     priority: int
     number: int
     organisation: str
     since: float
-    # The result is a connection, or None for the right to open one.
-    future: "asyncio.Future[link.Link | None]"
+    future: "asyncio.Future[link.Link]"
+    opening: bool = False
 
 
 class Pool:
     """Lend connections; a statement waits in order of priority when all are in use.
 
+    A connection is opened beside the wait for it: a statement whose time is over leaves it to others, so a slow opening
+    is not taken for an instance that does not answer.
+
     Attributes:
         limit: Connections that may be open at once.
     """
 
-    def __init__(self, instance: model.Instance, limit: int, opener: Opener = link.Link.connect):
+    def __init__(
+        self,
+        instance: model.Instance,
+        limit: int,
+        opener: Opener = link.Link.connect,
+        on_refused: Refused = lambda instance_id, error: None,
+    ):
         self.instance = instance
         self.limit = limit
         self._opener = opener
+        self._on_refused = on_refused
         self._idle: list[link.Link] = []
         self._size = 0
         self._waiters: list[_Waiter] = []
         self._numbers = itertools.count()
+        self._openings: set[asyncio.Task[None]] = set()
         self._full_until = 0.0
         self._closed = False
 
@@ -61,14 +73,19 @@
         """Return the number of open connections that are not in use."""
         return len(self._idle)
 
-    def has_idle(self, organisation: str) -> bool:
-        """Tell whether a connection of the organisation is free."""
-        return any(item.organisation == organisation for item in self._idle)
+    @property
+    def full(self) -> bool:
+        """Tell whether the instance refused a connection a moment ago because it has too many."""
+        return clock.now() < self._full_until
 
     @property
     def saturated(self) -> bool:
         """Tell whether a statement would have to wait."""
-        return not self._idle and (self._size >= self.limit or clock.now() < self._full_until)
+        return not self._idle and (self._size >= self.limit or self.full)
+
+    def has_idle(self, organisation: str) -> bool:
+        """Tell whether a connection of the organisation is free."""
+        return any(item.organisation == organisation for item in self._idle)
 
     async def acquire(
         self, organisation: str, values: Mapping[str, str], *, priority: int, timeout_s: float
@@ -87,15 +104,26 @@
         """
         if self._closed:
             raise errors.PoolUnavailableError(f"{self.instance.id} takes no new work")
-        deadline = clock.now() + timeout_s
         found = self._take(organisation, values)
         if found is not None:
             return found
-        if not self._reserve():
-            found = await self._wait(organisation, priority, timeout_s)
-            if found is not None:
-                return found
-        return await self._open(organisation, max(0.05, deadline - clock.now()))
+        future: asyncio.Future[link.Link] = asyncio.get_running_loop().create_future()
+        waiter = _Waiter(priority, next(self._numbers), organisation, clock.now(), future)
+        self._waiters.append(waiter)
+        self._pump()
+        try:
+            await asyncio.wait({future}, timeout=timeout_s)
+        except asyncio.CancelledError:
+            if future.done() and future.exception() is None:
+                self.release(future.result())
+            raise
+        finally:
+            if waiter in self._waiters:
+                self._waiters.remove(waiter)
+        if not future.done():
+            future.cancel()
+            raise errors.PoolUnavailableError(f"no connection to {self.instance.id} in {timeout_s:.3f} s")
+        return future.result()
 
     def release(self, lent: link.Link) -> None:
         """Take a connection back; one that is not usable is dropped."""
@@ -106,16 +134,17 @@
         if waiter is None:
             self._idle.append(lent)
         elif waiter.organisation == lent.organisation:
-            waiter.future.set_result(lent)
+            self._hand_over(waiter, lent)
         else:
             lent.close()
-            waiter.future.set_result(None)
+            self._open(waiter)
 
     def discard(self, lent: link.Link) -> None:
         """Drop a connection and let a waiter open another."""
         if lent.open:
             lent.close()
-        self._free()
+        self._size -= 1
+        self._pump()
 
     def close(self) -> None:
         """Close free connections and refuse further ones; lent ones close when they come back."""
@@ -125,12 +154,15 @@
         self._size -= len(self._idle)
         self._idle.clear()
         for waiter in self._waiters:
-            if not waiter.future.done():
-                waiter.future.set_exception(errors.PoolUnavailableError(f"{self.instance.id} takes no new work"))
-        self._waiters.clear()
+            self._fail(waiter, errors.PoolUnavailableError(f"{self.instance.id} takes no new work"))
+        for task in self._openings:
+            task.cancel()
 
     def _take(self, organisation: str, values: Mapping[str, str]) -> link.Link | None:
-        self._drop_dead()
+        for item in [item for item in self._idle if not item.usable]:
+            self._idle.remove(item)
+            item.close()
+            self._size -= 1
         own = [item for item in self._idle if item.organisation == organisation]
         if not own:
             return None
@@ -138,77 +170,63 @@
         self._idle.remove(found)
         return found
 
-    def _drop_dead(self) -> None:
-        for item in [item for item in self._idle if not item.usable]:
-            self._idle.remove(item)
-            item.close()
-            self._size -= 1
-
-    def _reserve(self) -> bool:
-        """Take the right to open a connection, at the cost of the one that is free for longest if need be."""
-        if self._size < self.limit and (clock.now() >= self._full_until or not self._size):
-            self._size += 1
-            return True
-        if self._idle:
-            self._idle.pop(0).close()
-            return True
-        return False
-
-    def _free(self) -> None:
-        waiter = self._next_waiter(None) if self._size <= self.limit else None
-        if waiter is None:
-            self._size -= 1
-        else:
-            waiter.future.set_result(None)
-
-    def _next_waiter(self, organisation: str | None) -> _Waiter | None:
-        waiting = [waiter for waiter in self._waiters if not waiter.future.done()]
-        if not waiting:
-            return None
-        first = min(waiting, key=lambda waiter: (waiter.priority, waiter.number))
-        if first.organisation != organisation and clock.now() - first.since < AFFINITY_S:
-            same = [waiter for waiter in waiting if waiter.organisation == organisation]
-            first = min(same, key=lambda waiter: (waiter.priority, waiter.number), default=first)
-        self._waiters.remove(first)
-        return first
-
-    async def _wait(self, organisation: str, priority: int, timeout_s: float) -> link.Link | None:
-        future: asyncio.Future[link.Link | None] = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(priority, next(self._numbers), organisation, clock.now(), future)
-        self._waiters.append(waiter)
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await future
-        except TimeoutError as error:
-            # The connection may have been handed over in the same step in which the time ran out.
-            if future.done() and not future.cancelled() and future.exception() is None:
-                return future.result()
-            raise errors.PoolUnavailableError(f"no connection to {self.instance.id} in {timeout_s:.3f} s") from error
-        except asyncio.CancelledError:
-            self._return_unused(future)
-            raise
-        finally:
-            if waiter in self._waiters:
-                self._waiters.remove(waiter)
-
-    def _return_unused(self, future: "asyncio.Future[link.Link | None]") -> None:
-        if future.done() and not future.cancelled() and future.exception() is None:
-            unused = future.result()
-            if unused is None:
-                self._free()
+    def _pump(self) -> None:
+        """Open connections for those who wait, as far as the limit allows."""
+        for waiter in sorted(self._waiters, key=lambda waiter: (waiter.priority, waiter.number)):
+            if waiter.opening or waiter.future.done():
+                continue
+            if self._size < self.limit and not (self.full and self._size):
+                self._size += 1
+            elif self._idle:
+                # The connection that is free for longest makes room for one of another organisation.
+                self._idle.pop(0).close()
             else:
-                self.release(unused)
+                return
+            self._open(waiter)
+
+    def _open(self, waiter: _Waiter) -> None:
+        waiter.opening = True
+        task = asyncio.get_running_loop().create_task(self._connect(waiter))
+        self._openings.add(task)
+        task.add_done_callback(self._openings.discard)
 
-    async def _open(self, organisation: str, timeout_s: float) -> link.Link:
+    async def _connect(self, waiter: _Waiter) -> None:
         try:
-            opened = await self._opener(self.instance, organisation, timeout_s)
+            opened = await self._opener(self.instance, waiter.organisation)
         except errors.LinkRefusedError as error:
-            if error.overloaded:
+            self._size -= 1
+            if error.overloaded and not self.full:
                 self._full_until = clock.now() + FULL_PAUSE_S
                 _log.bind(instance=self.instance.id, size=self._size).info("instance is full")
-            self._free()
-            raise
+            self._on_refused(self.instance.id, error)
+            self._fail(waiter, error)
+            if not error.overloaded:
+                self._pump()
+            return
         except BaseException:
-            self._free()
+            self._size -= 1
             raise
-        return opened
+        if waiter in self._waiters and not waiter.future.done():
+            self._hand_over(waiter, opened)
+        else:
+            self.release(opened)
+
+    def _hand_over(self, waiter: _Waiter, lent: link.Link) -> None:
+        self._waiters.remove(waiter)
+        waiter.future.set_result(lent)
+
+    def _fail(self, waiter: _Waiter, error: Exception) -> None:
+        if not waiter.future.done():
+            waiter.future.set_exception(error)
+            # A waiter that gave up in the same step does not look at it.
+            waiter.future.exception()
+
+    def _next_waiter(self, organisation: str) -> _Waiter | None:
+        waiting = [waiter for waiter in self._waiters if not waiter.future.done()]
+        if not waiting:
+            return None
+        first = min(waiting, key=lambda waiter: (waiter.opening, waiter.priority, waiter.number))
+        same = [waiter for waiter in waiting if waiter.organisation == organisation]
+        if same and (first.opening or clock.now() - first.since < AFFINITY_S):
+            return min(same, key=lambda waiter: (waiter.priority, waiter.number))
+        return None if first.opening else first
--- a/src/currantlead/sessions/succession.py
+++ b/src/currantlead/sessions/succession.py
@@ -200,16 +200,18 @@
         return known is not None and self._fleet.takes_reads(known)
 
     async def _answers(self, instance: model.Instance) -> bool:
-        found = await self._connect(instance)
-        if found is None:
-            return False
+        """Tell whether an instance is alive; one that has too many connections is."""
+        try:
+            found = await link.Link.connect(instance, ORGANISATION)
+        except errors.LinkRefusedError as error:
+            return error.overloaded
         status = await self._ask(found, _codec.encode_status())
         found.close()
         return status is not None
 
     async def _connect(self, instance: model.Instance) -> link.Link | None:
         try:
-            return await link.Link.connect(instance, ORGANISATION, STATUS_TIMEOUT_S)
+            return await link.Link.connect(instance, ORGANISATION)
         except errors.LinkRefusedError as error:
             _log.bind(instance=instance.id).info("no status: {}", error)
             return None
--- /dev/null
+++ b/tests/test_session_pool.py
@@ -0,0 +1,178 @@
+"""Connections to one instance: limits, organisations, waiting, slow and refused openings."""
+
+import asyncio
+
+import pytest
+
+from currantlead import errors
+from currantlead.sessions import model, pool
+
+INSTANCE = model.Instance("i-1", "svc", "127.0.0.1", 1, "z1", False, model.Role.PRIMARY, 1)
+
+
+class FakeLink:
+    """Stand for a connection."""
+
+    def __init__(self, organisation):
+        self.organisation = organisation
+        self.values = {}
+        self.usable = True
+        self.open = True
+
+    def close(self):
+        """Close it."""
+        self.open = self.usable = False
+
+
+class Opener:
+    """Open fake connections; each opening waits for ``gate``."""
+
+    def __init__(self):
+        self.opened = []
+        self.gate = asyncio.Event()
+        self.gate.set()
+        self.error = None
+
+    async def __call__(self, instance, organisation):
+        """Open one."""
+        await self.gate.wait()
+        if self.error is not None:
+            raise self.error
+        self.opened.append(FakeLink(organisation))
+        return self.opened[-1]
+
+    @property
+    def alive(self):
+        """Return how many are open."""
+        return sum(item.open for item in self.opened)
+
+
+def make(limit=2):
+    """Return a pool and its opener."""
+    opener = Opener()
+    return pool.Pool(INSTANCE, limit, opener), opener
+
+
+async def acquire(found, organisation="a", priority=1, timeout_s=0.2):
+    """Lend a connection."""
+    return await found.acquire(organisation, {}, priority=priority, timeout_s=timeout_s)
+
+
+async def test_connection_is_reused_by_its_organisation():
+    """A connection is opened once and lent again."""
+    found, opener = make()
+    for _ in range(3):
+        found.release(await acquire(found))
+    assert len(opener.opened) == 1
+
+
+async def test_limit_holds_and_a_waiter_gets_the_released_one():
+    """No more connections than the limit are open, whoever waits."""
+    found, opener = make(limit=1)
+    first = await acquire(found)
+    waiting = asyncio.create_task(acquire(found))
+    await asyncio.sleep(0.01)
+    found.release(first)
+    assert await waiting is first
+    assert opener.alive == 1
+
+
+async def test_other_organisation_replaces_the_longest_idle():
+    """A connection is never lent to another organisation; it makes room for one."""
+    found, opener = make(limit=2)
+    first, second = await acquire(found, "a"), await acquire(found, "b")
+    found.release(first)
+    found.release(second)
+    third = await acquire(found, "c")
+    assert third.organisation == "c" and not first.open and second.open
+    assert opener.alive == 2
+
+
+async def test_released_connection_of_another_organisation_is_exchanged():
+    """A waiter of another organisation gets a new connection in place of the released one."""
+    found, opener = make(limit=1)
+    first = await acquire(found, "a")
+    waiting = asyncio.create_task(acquire(found, "b"))
+    await asyncio.sleep(0.01)
+    found.release(first)
+    assert (await waiting).organisation == "b"
+    assert opener.alive == 1
+
+
+async def test_waiters_are_served_by_priority():
+    """The most urgent statement gets the next connection."""
+    found, _ = make(limit=1)
+    first = await acquire(found)
+    late = asyncio.create_task(acquire(found, priority=2))
+    await asyncio.sleep(0)
+    urgent = asyncio.create_task(acquire(found, priority=0))
+    await asyncio.sleep(0.01)
+    found.release(first)
+    assert await urgent is first
+    found.release(first)
+    assert await late is first
+
+
+async def test_wait_ends_in_time_and_loses_no_connection():
+    """A statement that gave up leaves nothing behind."""
+    found, _ = make(limit=1)
+    first = await acquire(found)
+    with pytest.raises(errors.PoolUnavailableError):
+        await acquire(found, timeout_s=0.02)
+    found.release(first)
+    assert (found.idle, found.busy, found.waiting) == (1, 0, 0)
+
+
+async def test_slow_opening_serves_the_next_statement():
+    """A connection that opens after its statement gave up is kept."""
+    found, opener = make()
+    opener.gate.clear()
+    with pytest.raises(errors.PoolUnavailableError):
+        await acquire(found, timeout_s=0.02)
+    opener.gate.set()
+    await asyncio.sleep(0.01)
+    assert found.idle == 1
+    await acquire(found)
+    assert len(opener.opened) == 1
+
+
+async def test_refused_opening_tells_its_waiter_at_once():
+    """A full instance is left for another one without a wait."""
+    found, opener = make()
+    opener.error = errors.LinkRefusedError("full", overloaded=True)
+    with pytest.raises(errors.LinkRefusedError):
+        await acquire(found)
+    assert found.full and found.saturated and found.busy == 0
+
+
+async def test_cancelled_waiter_returns_what_it_was_given():
+    """A caller that leaves while it waits does not take a connection with it."""
+    found, _ = make(limit=1)
+    first = await acquire(found)
+    waiting = asyncio.create_task(acquire(found))
+    await asyncio.sleep(0.01)
+    found.release(first)
+    waiting.cancel()
+    await asyncio.gather(waiting, return_exceptions=True)
+    assert (found.idle, found.busy) == (1, 0)
+
+
+async def test_closed_pool_refuses_and_closes_what_comes_back():
+    """An instance that is gone keeps no connection."""
+    found, opener = make()
+    lent = await acquire(found)
+    found.close()
+    with pytest.raises(errors.PoolUnavailableError):
+        await acquire(found)
+    found.release(lent)
+    assert opener.alive == 0
+
+
+async def test_dead_idle_connection_is_not_lent():
+    """A connection that the instance closed meanwhile is replaced."""
+    found, opener = make(limit=1)
+    lent = await acquire(found)
+    found.release(lent)
+    lent.usable = False
+    assert await acquire(found) is not lent
+    assert len(opener.opened) == 2
