--- a/src/currantlead/cli.py
+++ b/src/currantlead/cli.py
@@ -8,6 +8,7 @@
 
 from currantlead import daemon, settings
 from currantlead.operators import console
+from currantlead.sessions import commands
 
 app = typer.Typer(no_args_is_help=True, help="A database proxy with session consistency.")
 
@@ -39,6 +40,9 @@
 _serve.__annotations__ = {name: item.annotation for name, item in _serve.__signature__.parameters.items()}
 app.command("serve")(_serve)
 app.command("run")(console.run)
+app.command("serve-sessions")(commands.serve)
+app.command("check")(commands.check)
+app.command("explain")(commands.explain)
 
 
 def main() -> None:
--- a/src/currantlead/sessions/__main__.py
+++ b/src/currantlead/sessions/__main__.py
@@ -31,4 +31,5 @@
     return 0
 
 
-sys.exit(main())
+if __name__ == "__main__":
+    sys.exit(main())
