--- a/src/currantlead/sessions/sockets.py
+++ b/src/currantlead/peers/sockets.py
@@ -10,9 +10,9 @@
 """Bytes without acknowledgement end the connection after this time: instances drop dark callers after 3 s."""
 
 
-def configure(writer: asyncio.StreamWriter) -> None:
-    """Set no-delay, keep-alive probes and the limit of unacknowledged bytes on a stream's socket."""
-    found = writer.get_extra_info("socket")
+def configure(transport: asyncio.StreamWriter | asyncio.BaseTransport) -> None:
+    """Set no-delay, keep-alive probes and the limit of unacknowledged bytes on a connection's socket."""
+    found = transport.get_extra_info("socket")
     if found is None:
         return
     found.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/src/currantlead/peers/stream.py
+++ b/src/currantlead/peers/stream.py
@@ -4,7 +4,7 @@
 from typing import Any, Protocol
 
 from currantlead import errors, logs
-from currantlead.peers import frames
+from currantlead.peers import frames, sockets
 
 SEND_BUFFER_BYTES = 8 * 1024 * 1024
 HELLO_TIMEOUT_S = 2.0
@@ -68,6 +68,7 @@
     def connection_made(self, transport: Any) -> None:
         """Send the hello frame."""
         self._transport = transport
+        sockets.configure(transport)
         self._owner.opened(self)
         transport.write(frames.encode("hello", 0, self._owner.incarnation, self._owner.hello()))
         self._deadline = self._loop.call_later(HELLO_TIMEOUT_S, self.close, "no hello")
--- a/src/currantlead/platform/objects.py
+++ b/src/currantlead/platform/objects.py
@@ -241,13 +241,14 @@
 
 def encode_member(member: model.Member) -> dict[str, Any]:
     """Return the value under which a VM registers itself."""
-    return {"peerHost": member.host, "peerPort": member.port}
+    return {"peerHost": member.host, "peerPort": member.port, "domain": member.domain}
 
 
 def decode_member(stored: Stored) -> model.Member | None:
     """Return the VM of an entry, or None if the entry has another form."""
     try:
-        return model.Member(stored.name, str(stored.value["peerHost"]), int(stored.value["peerPort"]))
+        value = stored.value
+        return model.Member(stored.name, str(value["peerHost"]), int(value["peerPort"]), str(value["domain"]))
     except (KeyError, TypeError, ValueError) as error:
         _log.warning("entry {} names no VM: {!r}", stored.name, error)
         return None
--- a/src/currantlead/sessions/daemon.py
+++ b/src/currantlead/sessions/daemon.py
@@ -5,14 +5,18 @@
 import signal
 
 from currantlead import errors, logs
+from currantlead.control import model as control_model
+from currantlead.peers import network
 from currantlead.platform import lines, objects
 from currantlead.sessions import (
     allowance,
+    borrowing,
     clock,
     confirmation,
     execution,
     fleet,
     freshness,
+    holders,
     loans,
     measures,
     model,
@@ -60,7 +64,15 @@
         self.fleet = fleet.Fleet(checked.bounds, checked.region_of)
         self.samples = freshness.Freshness()
         self.allowances = allowance.Allowances()
-        self.peers = loans.Peers(model.Member(checked.vm, checked.peers.host, checked.peers.port))
+        own = model.Member(checked.vm, checked.peers.host, checked.peers.port, checked.domain)
+        self.peers = loans.Peers(own)
+        self.network = network.Network(
+            checked.vm, checked.domain, host=checked.peers.host, port=checked.peers.port, advertise=str(checked.peers)
+        )
+        self.holder = holders.Holder(self.fleet, self._own_pool_of)
+        self.network.handler(borrowing.LEND)(self.holder.lend)
+        self.network.handler(borrowing.EXCHANGE)(self.holder.exchange)
+        self.network.handler(borrowing.RETURN)(self.holder.take_back)
         self.lender = loans.Lender(self.allowances, self.peers)
         self.measures = measures.Measures()
         self.store = store.Store(checked.store, self._count_store)
@@ -78,6 +90,7 @@
             else None
         )
         self._pools: dict[str, pool.Pool] = {}
+        self._borrowing: dict[str, borrowing.BorrowingPool] = {}
         self.sessions: set[session.Session] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._instances_listed = False
@@ -97,6 +110,7 @@
             loop.add_signal_handler(number, stop.set)
         loop.add_signal_handler(signal.SIGHUP, lambda: _log.info("settings are read at the next start"))
         await self.lender.start(self.settings.peers)
+        await self.network.start()
         answering = readiness.Readiness(self.is_ready, self.measures.render, METRICS_PATH)
         self._servers.append(await answering.start(self.settings.readiness))
         self._servers.append(await answering.start(self.settings.metrics))
@@ -146,6 +160,7 @@
         for connections in self._pools.values():
             connections.close()
         self.lender.close()
+        await self.network.stop()
 
     def is_ready(self) -> bool:
         """Tell whether this VM takes new sessions."""
@@ -299,23 +314,53 @@
     def _apply_limits(self) -> None:
         """Divide rates and connections by the number of VMs."""
         self.allowances.configure(self.configuration.organisations, self.peers.count, clock.now())
+        self.network.learn(
+            [
+                control_model.Member(member.name, member.domain, 0, f"{member.host}:{member.port}")
+                for member in self.peers.others()
+            ]
+        )
         for connections in self._pools.values():
             connections.limit = self._connection_limit(connections.instance.service)
 
-    def _connection_limit(self, service: str) -> int:
+    def _connections(self, service: str) -> int:
         found = self.configuration.services.get(service)
-        if found is None:
-            return 1
-        usual = int(found.connections * USED_SHARE) // self.peers.count
-        least = min(LEAST_CONNECTIONS, (found.connections - SPARE_CONNECTIONS) // self.peers.count)
+        return found.connections if found is not None else 1
+
+    def _shared(self, service: str) -> bool:
+        """Tell whether an instance accepts fewer connections than there are VMs, so that holders lend them."""
+        return self._connections(service) - SPARE_CONNECTIONS < self.peers.count
+
+    def _holder_count(self, service: str) -> int:
+        return max(1, int(self._connections(service) * USED_SHARE) // holders.HELD_CONNECTIONS)
+
+    def _connection_limit(self, service: str) -> int:
+        connections = self._connections(service)
+        if self._shared(service):
+            return max(1, int(connections * USED_SHARE) // self._holder_count(service))
+        usual = int(connections * USED_SHARE) // self.peers.count
+        least = min(LEAST_CONNECTIONS, (connections - SPARE_CONNECTIONS) // self.peers.count)
         return max(1, usual, least)
 
+    def _holders(self, instance: model.Instance) -> list[str]:
+        return holders.holders_of(instance, self.peers.all(), self._holder_count(instance.service))
+
     def _refused(self, instance_id: str, error: errors.LinkRefusedError) -> None:
         self.measures.count("connections", result="full" if error.overloaded else "refused")
         if not error.overloaded:
             self.fleet.suspect(instance_id, str(error))
 
-    def _pool_of(self, instance: model.Instance) -> pool.Pool:
+    def _pool_of(self, instance: model.Instance) -> "pool.Pool | borrowing.BorrowingPool":
+        """Return where this VM's sessions get connections to an instance."""
+        if not self._shared(instance.service) or self.settings.vm in self._holders(instance):
+            return self._own_pool_of(instance)
+        found = self._borrowing.get(instance.id)
+        if found is None:
+            found = self._borrowing[instance.id] = borrowing.BorrowingPool(instance, self.network, self._holders)
+        return found
+
+    def _own_pool_of(self, instance: model.Instance) -> pool.Pool:
+        """Return the connections that this VM holds to an instance."""
         found = self._pools.get(instance.id)
         if found is None or found.instance.born_ms != instance.born_ms:
             if found is not None:
@@ -328,6 +373,8 @@
     def _close_unused_pools(self) -> None:
         for instance_id in [name for name in self._pools if self.fleet.get(name) is None]:
             self._pools.pop(instance_id).close()
+        for instance_id in [name for name in self._borrowing if self.fleet.get(name) is None]:
+            del self._borrowing[instance_id]
 
     async def _register(self) -> None:
         """Enter this VM in the list of members, and keep trying until that is done."""
@@ -360,6 +407,7 @@
     async def _housekeep(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
+            self.holder.reclaim()
             if self.fleet.drop_lapsed():
                 self._close_unused_pools()
 
@@ -370,7 +418,7 @@
 
     async def _leave(self, server: asyncio.Server) -> None:
         """Stop taking sessions, let open work end, and close sessions as they become idle."""
-        self._leaving = True
+        self._leaving = self.holder.leaving = True
         began_at = clock.now()
         grace_s = self.settings.bounds.grace_s
         _log.bind(sessions=len(self.sessions)).info("leaving")
@@ -379,7 +427,7 @@
         for served in list(self.sessions):
             served.close_when_idle()
         aborted = False
-        while self.sessions and clock.now() - began_at < grace_s - EXIT_MARGIN_S:
+        while (self.sessions or self.holder.lent) and clock.now() - began_at < grace_s - EXIT_MARGIN_S:
             await asyncio.sleep(0.02)
             if not aborted and clock.now() - began_at >= grace_s / 2:
                 aborted = True
--- a/src/currantlead/sessions/http.py
+++ b/src/currantlead/sessions/http.py
@@ -7,7 +7,8 @@
 import h11
 
 from currantlead import errors
-from currantlead.sessions import settings, sockets
+from currantlead.peers import sockets
+from currantlead.sessions import settings
 
 READ_BYTES = 65536
 CONNECT_TIMEOUT_S = 1.0
--- a/src/currantlead/sessions/loans.py
+++ b/src/currantlead/sessions/loans.py
@@ -125,6 +125,10 @@
         """Return the other VMs."""
         return [member for name, member in self._members.items() if name != self.own.name]
 
+    def all(self) -> list[model.Member]:
+        """Return all VMs."""
+        return list(self._members.values())
+
     def names(self) -> list[str]:
         """Return the names of all VMs in order."""
         return sorted(self._members)
--- a/src/currantlead/sessions/model.py
+++ b/src/currantlead/sessions/model.py
@@ -146,13 +146,15 @@
 
     Attributes:
         name: Name of the VM.
-        host: IP address of its peer socket.
-        port: UDP port of its peer socket.
+        host: IP address of its peer sockets.
+        port: Port of its peer sockets, UDP and TCP.
+        domain: Its failure domain.
     """
 
     name: str
     host: str
     port: int
+    domain: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/session_bed.py
+++ b/tests/session_bed.py
@@ -57,7 +57,7 @@
         self.service = line_instance.Service(SERVICE, ["i-1", "i-2", "i-3"], **service_options)
         self.store.promote = self._promote
         self.daemon: daemon.Daemon | None = None
-        self._task: asyncio.Task[None] | None = None
+        self._running: list[tuple[daemon.Daemon, asyncio.Task[None]]] = []
 
     async def __aenter__(self) -> "Bed":
         await self.store.start()
@@ -69,7 +69,8 @@
         return self
 
     async def __aexit__(self, *failure) -> None:
-        await self.stop_daemon()
+        for running, _ in list(self._running):
+            await self.stop_daemon(running)
         await self.service.stop()
         await self.store.stop()
 
@@ -99,10 +100,14 @@
         return promoted
 
     async def start_daemon(self) -> None:
+        """Start the first daemon and wait until it takes sessions."""
+        self.daemon = await self.add_daemon("vm-1", "z1")
+
+    async def add_daemon(self, vm: str, domain: str) -> daemon.Daemon:
         """Start a daemon and wait until it takes sessions."""
         checked = settings.SessionSettings(
-            vm="vm-1",
-            domain="z1",
+            vm=vm,
+            domain=domain,
             region_of={"z1": "r1", "z2": "r2", "z3": "r3"},
             callers=settings.Address("127.0.0.1", free_port()),
             readiness=settings.Address("127.0.0.1", free_port()),
@@ -114,28 +119,30 @@
             file_descriptors=1024,
             bounds=settings.Bounds(),
         )
-        self.daemon = daemon.Daemon.from_config(checked)
-        self._task = asyncio.create_task(self.daemon.run())
-        while not self.daemon.is_ready():  # noqa: ASYNC110
+        started = daemon.Daemon.from_config(checked)
+        self._running.append((started, asyncio.create_task(started.run())))
+        while not started.is_ready():  # noqa: ASYNC110
             await asyncio.sleep(0.01)
-
-    async def stop_daemon(self) -> None:
-        """Stop the daemon at once."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
-        if self.daemon is not None:
-            await self.daemon.close()
-
-    async def caller(self, database: str = "own-db", key: str = KEY) -> "Caller":
+        return started
+
+    async def stop_daemon(self, stopped: daemon.Daemon) -> None:
+        """Stop a daemon at once."""
+        for running, task in list(self._running):
+            if running is stopped:
+                self._running.remove((running, task))
+                task.cancel()
+                await asyncio.gather(task, return_exceptions=True)
+                await running.close()
+
+    async def caller(self, database: str = "own-db", key: str = KEY, *, at: daemon.Daemon | None = None) -> "Caller":
         """Open a session and check that it was accepted."""
-        caller = await self.connect()
+        caller = await self.connect(at)
         assert await caller.ask(f"START {database} {key}") == ["READY I -"]
         return caller
 
-    async def connect(self) -> "Caller":
-        """Connect without opening a session."""
-        address = self.daemon.settings.callers
+    async def connect(self, at: daemon.Daemon | None = None) -> "Caller":
+        """Connect without opening a session, to the first daemon unless another is given."""
+        address = (at or self.daemon).settings.callers
         return Caller(*await asyncio.open_connection(address.host, address.port))
 
 
