--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,11 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 DEPLOYMENT ?= thessaly
+PLATFORM ?= own
+SEED ?= 1
 KNOWN_RED := $(shell grep '^tests/' KNOWN-RED.txt)
 
-.PHONY: setup lint format test demo bench slopes capacity fuzz clean
+.PHONY: setup lint format test demo soak bench slopes capacity fuzz clean
 
 setup: $(STAMP)
 
@@ -31,7 +33,14 @@
 	HYPOTHESIS_PROFILE=fuzz $(BIN)/python -m pytest -n 4 -k "machine or property" --timeout 600
 
 demo: setup
+ifeq ($(PLATFORM),users)
+	$(BIN)/python -m tools.users_demo --seed $(SEED)
+else
 	$(BIN)/python -m tools.demo --deployment $(DEPLOYMENT)
+endif
+
+soak: setup
+	$(BIN)/python -m tools.users_demo --seed $(SEED) --seconds 30
 
 bench: setup
 	$(BIN)/python -m tools.bench
--- a/src/currantlead/platform/boot.py
+++ b/src/currantlead/platform/boot.py
@@ -12,6 +12,8 @@
 """Environment variable that holds the path of the settings file."""
 METRICS_PORT = 9464
 """Port that `deploy/system.toml` names for metrics; the usual one of exporters of this format."""
+METRICS_PORT_VARIABLE = "CURRANTLEAD_METRICS_PORT"
+"""Environment variable with another port for metrics, for several daemons on one machine."""
 
 
 class _Reader:
@@ -87,11 +89,12 @@
     )
 
 
-def parse(text: str) -> settings.SessionSettings:
+def parse(text: str, metrics_port: int = METRICS_PORT) -> settings.SessionSettings:
     """Return the settings of a file's text.
 
     Args:
         text: Content of the platform's settings file, in TOML.
+        metrics_port: Port for metrics, which the file does not name.
 
     Returns:
         The checked settings.
@@ -111,7 +114,7 @@
         region_of=reader.get("zones", _regions, {}),
         callers=reader.get("listen.front", _address),
         readiness=reader.get("listen.ready", _address),
-        metrics=settings.Address(host, METRICS_PORT),
+        metrics=settings.Address(host, metrics_port),
         peers=settings.Address(host, reader.get("internalPorts", _first_port, 0)),
         store=reader.get("platform.addr", _address),
         promotions=reader.get("cloudApi.addr", _address, required=False),
--- a/src/currantlead/sessions/__main__.py
+++ b/src/currantlead/sessions/__main__.py
@@ -19,8 +19,9 @@
     """Run the daemon and return the exit code: 2 for faulty settings."""
     path = os.environ.get(boot.PATH_VARIABLE, "")
     try:
-        checked = boot.parse(pathlib.Path(path).read_text(encoding="utf-8"))
-    except (errors.SettingsError, OSError) as error:
+        metrics_port = int(os.environ.get(boot.METRICS_PORT_VARIABLE, boot.METRICS_PORT))
+        checked = boot.parse(pathlib.Path(path).read_text(encoding="utf-8"), metrics_port)
+    except (errors.SettingsError, OSError, ValueError) as error:
         for fault in getattr(error, "faults", [str(error)]):
             sys.stderr.write(f"error: {path}: {fault}\n")
         return 2
--- a/tests/session_bed.py
+++ b/tests/session_bed.py
@@ -1,6 +1,8 @@
 """Run the session daemon in the test's loop against stand-ins of the store and the instances."""
 
 import asyncio
+import itertools
+import os
 import socket
 
 from currantlead.sessions import daemon, settings
@@ -12,11 +14,22 @@
 ROUTES = {"primary-db": "primary", "bounded-db": "bounded_staleness", "own-db": "own_writes"}
 
 
-def free_port(kind: int = socket.SOCK_STREAM) -> int:
-    """Return a port that is free on the loopback address."""
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+FIRST_PORT, PORTS = 20000, 12000
+"""Ports below those that the kernel gives to outgoing connections, which could take a probed one in between."""
+_ports = itertools.count(os.getpid() * 37 % PORTS)
+
+
+def free_port() -> int:
+    """Return a port that is free on the loopback address for streams and datagrams."""
+    while True:
+        port = FIRST_PORT + next(_ports) % PORTS
+        try:
+            with socket.socket() as stream, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagram:
+                stream.bind(("127.0.0.1", port))
+                datagram.bind(("127.0.0.1", port))
+        except OSError:
+            continue
+        return port
 
 
 def configuration(version: int = 1, **changes) -> dict:
@@ -112,7 +125,7 @@
             callers=settings.Address("127.0.0.1", free_port()),
             readiness=settings.Address("127.0.0.1", free_port()),
             metrics=settings.Address("127.0.0.1", free_port()),
-            peers=settings.Address("127.0.0.1", free_port(socket.SOCK_DGRAM)),
+            peers=settings.Address("127.0.0.1", free_port()),
             store=settings.Address("127.0.0.1", self.store.port),
             promotions=settings.Address("127.0.0.1", self.store.port),
             heartbeat_s=1.2,
--- a/tests/standins/line_instance.py
+++ b/tests/standins/line_instance.py
@@ -1,4 +1,7 @@
-"""Stand-in for the instances of one service on the users' platform: line protocol, log positions, terms and lag."""
+"""Stand-in for the instances of one service on the users' platform: line protocol, log positions, terms and lag.
+
+A commit is acknowledged once one replica has received it, as with one synchronous replica.
+"""
 
 import asyncio
 import dataclasses
@@ -63,6 +66,10 @@
         horizon = time.monotonic() - self.lag_s.get(instance.id, 0.0)
         return sum(commit.at <= horizon for commit in self.log[: self.received(instance)])
 
+    def replicas(self) -> list["Instance"]:
+        """Return the replicas that receive at all."""
+        return [item for item in self.instances.values() if not item.leads and not item.dark]
+
     def position(self, count: int) -> str:
         """Return the position after ``count`` commits."""
         return f"{self.log[count - 1].term}.{count}" if count else f"{1 if self.log else self.term}.0"
@@ -193,13 +200,24 @@
             word, request, text = line.split(" ", 2)
             if self.instance.dark:
                 continue
+            before = len(self.service.log)
             messages = self.answer(request, text)
+            if len(self.service.log) > before and not await self.replicated(self.service.log[-1]):
+                return
             if request != "-" and self.instance.lose_answers:
                 self.instance.lose_answers -= 1
                 return
             self.send(*messages, self.ready())
             await self.writer.drain()
 
+    async def replicated(self, commit: Commit) -> bool:
+        """Wait until a replica has received a commit; return False if it was rolled back before that."""
+        while commit in self.service.log:
+            if any(self.service.received(item) >= commit.number for item in self.service.replicas()):
+                return True
+            await asyncio.sleep(0.005)
+        return False
+
     def fail(self, code: str) -> list[str]:
         """Return a failure; an open transaction fails with it."""
         if self.state == "T":
--- a/tests/standins/object_store.py
+++ b/tests/standins/object_store.py
@@ -98,7 +98,8 @@
                     codec.start_next_cycle()
                 elif isinstance(event, h11.ConnectionClosed):
                     return
-        except (OSError, h11.ProtocolError):
+        except (OSError, h11.ProtocolError, asyncio.CancelledError):
+            # A cancelled watch at the end of a test is no failure.
             pass
         finally:
             self._writers.discard(writer)
--- /dev/null
+++ b/tools/users_demo.py
@@ -0,0 +1,335 @@
+"""Run session daemons under load and faults on one machine, and compare callers' answers with the instances' logs.
+
+The stand-ins of the users' platform run in this process; each daemon is a process of its own. Faults come at random
+times from the seed: daemons are killed, stopped and paused, a primary falls silent, replicas lag, the store turns its
+callers away.
+"""
+
+import argparse
+import asyncio
+import collections
+import dataclasses
+import json
+import os
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+import time
+
+import rich.console
+
+from currantlead.platform import boot
+from tests import session_bed
+from tests.standins import line_instance, object_store
+
+VMS = 4
+SESSIONS = 24
+PAUSE_S = 0.03
+"""Pause between two statements of a session, in seconds."""
+PROMISES = {"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "OVERLOAD"}
+"""Codes that promise that nothing of the operation is kept."""
+_console = rich.console.Console(stderr=True)
+
+SETTINGS = """
+node = "{vm}"
+ip = "127.0.0.1"
+zone = "{domain}"
+internalPorts = [{peers}, {peers}]
+[zones]
+z1 = "r1"
+z2 = "r2"
+z3 = "r3"
+[listen]
+front = "127.0.0.1:{callers}"
+ready = "127.0.0.1:{readiness}"
+[bounds]
+graceS = 6
+[platform]
+addr = "127.0.0.1:{store}"
+[cloudApi]
+addr = "127.0.0.1:{store}"
+"""
+
+
+@dataclasses.dataclass(slots=True)
+class Result:
+    """Hold the last line."""
+
+    seed: int
+    sent: int = 0
+    completed: int = 0
+    not_run: int = 0
+    may_have_run: int = 0
+    lost: int = 0
+    doubled: int = 0
+    stale_reads: int = 0
+    false_not_run: int = 0
+    faults: list[str] = dataclasses.field(default_factory=list)
+
+    def holds(self) -> bool:
+        """Tell whether the logs agree with what callers were told."""
+        return not (self.lost or self.doubled or self.stale_reads or self.false_not_run)
+
+
+class Vm:
+    """Run one daemon as a process, and start it again when it ends."""
+
+    def __init__(self, name: str, domain: str, store_port: int, folder: pathlib.Path):
+        self.name = name
+        self.port = session_bed.free_port()
+        self._metrics_port = session_bed.free_port()
+        self._settings = folder / f"{name}.toml"
+        self._settings.write_text(
+            SETTINGS.format(
+                vm=name,
+                domain=domain,
+                peers=session_bed.free_port(),
+                callers=self.port,
+                readiness=session_bed.free_port(),
+                store=store_port,
+            )
+        )
+        self._log = (folder / f"{name}.log").open("ab")
+        self.process: asyncio.subprocess.Process | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Keep the process running."""
+        self._task = asyncio.create_task(self._supervise())
+
+    async def _supervise(self) -> None:
+        while True:
+            environment = os.environ | {
+                boot.PATH_VARIABLE: str(self._settings),
+                boot.METRICS_PORT_VARIABLE: str(self._metrics_port),
+            }
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "currantlead.sessions", env=environment, stdout=self._log, stderr=self._log
+            )
+            await self.process.wait()
+            await asyncio.sleep(0.3)
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it runs."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def stop(self) -> None:
+        """End the process for good."""
+        if self._task is not None:
+            self._task.cancel()
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        if self.process is not None:
+            await self.process.wait()
+        self._log.close()
+
+
+class Soak:
+    """Drive one run."""
+
+    def __init__(self, seed: int, seconds: float, folder: pathlib.Path):
+        self.result = Result(seed)
+        self._random = random.Random(seed)
+        self._seconds = seconds
+        self._folder = folder
+        self._acknowledged: list[tuple[str, str, str]] = []
+        self._promised: set[str] = set()
+        self._store = object_store.ObjectStore()
+        self._service = line_instance.Service(session_bed.SERVICE, ["i-1", "i-2", "i-3"], cap=24)
+        self._vms: list[Vm] = []
+        self._ends_at = 0.0
+
+    async def run(self) -> Result:
+        """Start everything, play the load and the faults, and compare."""
+        await self._store.start()
+        await self._service.start()
+        self._store.promote = self._promote
+        self._store.put("config", "main", session_bed.configuration())
+        for name in self._service.instances:
+            self._register(name)
+        self._vms = [Vm(f"vm-{i}", f"z{i % 3 + 1}", self._store.port, self._folder) for i in range(VMS)]
+        for vm in self._vms:
+            vm.start()
+        try:
+            await asyncio.sleep(1.5)
+            self._ends_at = time.monotonic() + self._seconds
+            sessions = [
+                self._session(number, random.Random(f"{self.result.seed}/{number}")) for number in range(SESSIONS)
+            ]
+            await asyncio.gather(self._faults(), *sessions)
+        finally:
+            for vm in self._vms:
+                await vm.stop()
+            await self._service.stop()
+            await self._store.stop()
+        self._compare()
+        return self.result
+
+    def _register(self, name: str) -> None:
+        instance = self._service.instances[name]
+        entry = {"service": session_bed.SERVICE, "addr": f"127.0.0.1:{instance.port}", "zone": f"z{name[-1]}"}
+        entry |= {"state": "ready", "dbRole": "primary" if instance.leads else "replica", "born": 1}
+        self._store.put("servers", name, entry)
+
+    def _promote(self, service: str, instance_id: str) -> bool:
+        promoted = self._service.promote(instance_id)
+        for name in self._service.instances:
+            self._register(name)
+        return promoted
+
+    async def _session(self, number: int, chance: random.Random) -> None:
+        """Write and read one item of its own, reconnecting to any VM; each operation has its own request id."""
+        caller, written, sequence = None, None, 0
+        while time.monotonic() < self._ends_at:
+            await asyncio.sleep(PAUSE_S * chance.random() * 2)
+            try:
+                if caller is None:
+                    caller = await self._connect(chance)
+                    written = None
+                    continue
+                sequence += 1
+                request = f"r{number}x{sequence}"
+                self.result.sent += 1
+                async with asyncio.timeout(4.0):
+                    if chance.random() < 0.4:
+                        written = await self._write(caller, request, f"item{number}", f"v{sequence}", written)
+                    else:
+                        await self._read(caller, request, f"item{number}", written)
+            except (OSError, TimeoutError, IndexError, asyncio.IncompleteReadError):
+                self.result.may_have_run += 1
+                if caller is not None:
+                    caller.close()
+                caller = None
+
+    async def _connect(self, chance: random.Random) -> session_bed.Caller | None:
+        vm = chance.choice(self._vms)
+        async with asyncio.timeout(1.0):
+            caller = session_bed.Caller(*await asyncio.open_connection("127.0.0.1", vm.port))
+            answer = await caller.ask(f"START own-db {session_bed.KEY}")
+        return caller if answer == ["READY I -"] else None
+
+    async def _write(
+        self, caller: session_bed.Caller, request: str, item: str, data: str, written: str | None
+    ) -> str | None:
+        answer = await caller.ask(f"QUERY {request} WRITE {item} {data}")
+        word, _, rest = answer[0].partition(" ")
+        if word == "DONE":
+            self.result.completed += 1
+            self._acknowledged.append((request, item, data))
+            return data
+        if rest.split(" ")[0] in PROMISES:
+            self.result.not_run += 1
+            self._promised.add(request)
+            return written
+        self.result.may_have_run += 1
+        # The value may be either one from now on.
+        return None
+
+    async def _read(self, caller: session_bed.Caller, request: str, item: str, written: str | None) -> None:
+        answer = await caller.ask(f"QUERY {request} READ {item}")
+        if answer[0].startswith("ROW "):
+            self.result.completed += 1
+            if written is not None and answer[0] != f"ROW {written}":
+                self.result.stale_reads += 1
+                self.result.faults.append(f"stale read {request}: {answer[0]} instead of {written}")
+        else:
+            self.result.not_run += 1
+
+    async def _faults(self) -> None:
+        while time.monotonic() < self._ends_at - 4.0:
+            await asyncio.sleep(self._random.uniform(0.5, 2.0))
+            name = self._random.choice(sorted(FAULTS))
+            self.result.faults.append(name)
+            _console.print(f"fault: {name}")
+            await FAULTS[name](self)
+
+    async def kill(self) -> None:
+        """Kill a daemon."""
+        self._random.choice(self._vms).signal(signal.SIGKILL)
+
+    async def stop(self) -> None:
+        """Stop a daemon by plan."""
+        self._random.choice(self._vms).signal(signal.SIGTERM)
+
+    async def pause(self) -> None:
+        """Pause a daemon for a while."""
+        vm = self._random.choice(self._vms)
+        vm.signal(signal.SIGSTOP)
+        await asyncio.sleep(self._random.uniform(0.2, 2.0))
+        vm.signal(signal.SIGCONT)
+
+    async def silence(self) -> None:
+        """Let the primary answer nothing for a while."""
+        instance = self._service.instances[self._service.primary]
+        instance.dark = True
+        await asyncio.sleep(self._random.uniform(1.0, 3.0))
+        instance.dark = False
+
+    async def lag(self) -> None:
+        """Let the replicas lag."""
+        self._service.lag_s = {name: self._random.uniform(0.1, 3.0) for name in self._service.instances}
+
+    async def lose_answers(self) -> None:
+        """Lose answers of an instance."""
+        self._random.choice(list(self._service.instances.values())).lose_answers = self._random.randrange(1, 4)
+
+    async def refuse_store(self) -> None:
+        """Let the store turn callers away for a while."""
+        fault = self._random.choice([429, 503, "reset", "lost"])
+        self._store.fault = lambda method, path: fault
+        await asyncio.sleep(self._random.uniform(0.5, 5.0))
+        self._store.fault = lambda method, path: None
+
+    async def forget_history(self) -> None:
+        """Drop the store's history."""
+        self._store.forget_history()
+
+    async def drain_primary(self) -> None:
+        """Announce that the primary leaves, and take that back after a while."""
+        name = self._service.primary
+        entry = self._store.objects["servers"][name]["spec"]
+        self._store.put("servers", name, entry | {"state": "draining"})
+        await asyncio.sleep(2.0)
+        self._register(name)
+
+    def _compare(self) -> None:
+        """Compare the log with what callers were told."""
+        committed = collections.Counter(request for commit in self._service.log for request, _, _ in commit.writes)
+        self.result.doubled = sum(count > 1 for count in committed.values())
+        self.result.lost = sum(request not in committed for request, _, _ in self._acknowledged)
+        self.result.false_not_run = sum(request in committed for request in self._promised)
+
+
+FAULTS = {
+    "kill": Soak.kill,
+    "stop": Soak.stop,
+    "pause": Soak.pause,
+    "silence": Soak.silence,
+    "lag": Soak.lag,
+    "lose_answers": Soak.lose_answers,
+    "refuse_store": Soak.refuse_store,
+    "forget_history": Soak.forget_history,
+    "drain_primary": Soak.drain_primary,
+}
+
+
+def main() -> int:
+    """Run one seed, print the result as one JSON line, and return 1 if a promise was broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=20.0, help="length of the load in seconds")
+    parser.add_argument("--keep", type=pathlib.Path, help="folder for settings and logs, kept afterwards")
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory() as temporary:
+        folder = options.keep or pathlib.Path(temporary)
+        folder.mkdir(parents=True, exist_ok=True)
+        result = asyncio.run(Soak(options.seed, options.seconds, folder).run())
+    print(json.dumps(dataclasses.asdict(result)))
+    return 0 if result.holds() else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
