Ease slices of low rates by the tolerance in counting, and give them few owners

A lender now gives what it has, 0.3 of the tolerance is added to the burst, and a low rate has 12 owners.

--- a/src/currantlead/platform/boot.py
+++ b/src/currantlead/platform/boot.py
@@ -85,6 +85,7 @@
         evacuation_s=bound("evacuateMs", _milliseconds, usual.evacuation_s),
         grace_s=bound("graceS", _number, usual.grace_s),
         rate_window_s=bound("quotaWindowS", _number, usual.rate_window_s),
+        rate_excess=bound("quotaExcess", _number, usual.rate_excess),
         rate_slack=bound("quotaSlack", _number, usual.rate_slack),
     )
 
--- a/src/currantlead/sessions/allowance.py
+++ b/src/currantlead/sessions/allowance.py
@@ -1,17 +1,26 @@
-"""Rates of organisations over all VMs: each VM owns an equal slice, and lends what it does not need.
+"""Rates of organisations over all VMs: some VMs own equal slices of a rate, and lend what they have.
 
 A token exists once: it accrues in one slice, and a loan is taken from the lender before it is sent. Lost datagrams lose
 tokens; nothing creates them. Without peers each VM still has its slice.
 """
 
 import dataclasses
-from collections.abc import Mapping
+import hashlib
+import math
+from collections.abc import Mapping, Sequence
 
 from currantlead import logs
-from currantlead.sessions import model
+from currantlead.sessions import model, settings
 
 START_SHARE = 0.25
 """Part of the burst that a starting VM has; the VM that it replaces may have spent its whole slice a moment ago."""
+TOLERANCE_SHARE = 0.3
+"""Part of the tolerance in counting that is added to the burst: tokens lie on several VMs, and those on a VM without
+callers are not at hand where they are needed. The rest covers restarts and changes of the slices."""
+OWNERS = 12
+"""Most owners of a low rate: slices below a token a second leave every operation waiting for loans of many VMs."""
+OWNED_RATE = 4.0
+"""Tokens a second that one slice of a higher rate has at least."""
 LOAN_LIFETIME_S = 1.0
 """Tokens above a slice's own burst are dropped after this time, so that loans do not add up beyond the burst."""
 
@@ -53,13 +62,9 @@
         return True
 
     def lend(self, want: float, now: float) -> float:
-        """Take up to ``want`` tokens out for another VM and return their number.
-
-        A lender keeps one token if it has several, so that its own next operation does not wait.
-        """
+        """Take up to ``want`` tokens out for another VM and return their number."""
         self.advance(now)
-        spare = self.level - 1.0 if self.level >= 2.0 else self.level if self.level < 1.0 else 0.0
-        amount = max(0.0, min(want, spare))
+        amount = max(0.0, min(want, self.level))
         self.level -= amount
         return amount
 
@@ -70,24 +75,43 @@
         self.borrowed_until = now + LOAN_LIFETIME_S
 
 
+def owners_of(organisation: model.Organisation, members: Sequence[str]) -> list[str]:
+    """Return the VMs that own slices of an organisation's rate: all, where there are few."""
+    count = max(OWNERS, math.ceil(organisation.rate / OWNED_RATE))
+
+    def weight(name: str) -> bytes:
+        return hashlib.blake2b(f"{organisation.name}/{name}".encode(), digest_size=8).digest()
+
+    return sorted(members, key=weight)[:count]
+
+
 class Allowances:
-    """Keep this VM's slices."""
+    """Keep this VM's slices.
+
+    Args:
+        vm: Name of this VM.
+        bounds: Promised windows and tolerances.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, vm: str, bounds: settings.Bounds) -> None:
+        self._vm = vm
+        self._bounds = bounds
         self._slices: dict[str, Slice] = {}
-        self._organisations: Mapping[str, model.Organisation] = {}
-        self._members = 1
-
-    def configure(self, organisations: Mapping[str, model.Organisation], members: int, now: float) -> None:
-        """Take new rates or another number of VMs; tokens may be lost by it, never created."""
-        self._organisations = organisations
-        if members != self._members:
-            _log.bind(members=members).info("rates are divided by the number of VMs")
-        self._members = max(1, members)
+        self._owners: dict[str, list[str]] = {}
+        self._members = 0
+
+    def configure(self, organisations: Mapping[str, model.Organisation], members: Sequence[str], now: float) -> None:
+        """Take new rates or other VMs; tokens may be lost by it, never created."""
+        if len(members) != self._members:
+            self._members = len(members)
+            _log.bind(members=self._members).info("rates are divided anew")
         for name in [name for name in self._slices if name not in organisations]:
             del self._slices[name]
+        self._owners = {name: owners_of(organisation, members) for name, organisation in organisations.items()}
         for name, organisation in organisations.items():
-            rate, burst = organisation.rate / self._members, organisation.burst / self._members
+            owners = self._owners[name]
+            share = 1 / len(owners) if self._vm in owners else 0.0
+            rate, burst = organisation.rate * share, self._burst(organisation) * share
             found = self._slices.get(name)
             if found is None:
                 self._slices[name] = Slice(rate, burst, burst * START_SHARE, now)
@@ -97,6 +121,15 @@
                 found.level = min(found.level, burst)
             found.rate, found.burst = rate, burst
 
+    def _burst(self, organisation: model.Organisation) -> float:
+        bounds = self._bounds
+        window = organisation.rate * bounds.rate_window_s + organisation.burst
+        return organisation.burst + TOLERANCE_SHARE * (bounds.rate_excess * window + bounds.rate_slack)
+
+    def lenders(self, organisation: str) -> list[str]:
+        """Return the other VMs that own slices of an organisation's rate."""
+        return [name for name in self._owners.get(organisation, ()) if name != self._vm]
+
     def take(self, organisation: str, now: float) -> bool:
         """Spend one token of an organisation; return whether there was one."""
         found = self._slices.get(organisation)
--- a/src/currantlead/sessions/daemon.py
+++ b/src/currantlead/sessions/daemon.py
@@ -63,7 +63,7 @@
         self.confirmation = confirmation.Confirmation(checked.bounds)
         self.fleet = fleet.Fleet(checked.bounds, checked.region_of)
         self.samples = freshness.Freshness()
-        self.allowances = allowance.Allowances()
+        self.allowances = allowance.Allowances(checked.vm, checked.bounds)
         own = model.Member(checked.vm, checked.peers.host, checked.peers.port, checked.domain)
         self.peers = loans.Peers(own)
         self.network = network.Network(
@@ -313,7 +313,7 @@
 
     def _apply_limits(self) -> None:
         """Divide rates and connections by the number of VMs."""
-        self.allowances.configure(self.configuration.organisations, self.peers.count, clock.now())
+        self.allowances.configure(self.configuration.organisations, self.peers.names(), clock.now())
         self.network.learn(
             [
                 control_model.Member(member.name, member.domain, 0, f"{member.host}:{member.port}")
--- a/src/currantlead/sessions/loans.py
+++ b/src/currantlead/sessions/loans.py
@@ -13,6 +13,10 @@
 """Time between two questions for tokens of one organisation: a round trip between regions is about 25 ms."""
 WAIT_S = 0.15
 """An operation waits this long for borrowed tokens before it is refused."""
+PARTS_ASKED = 1.5
+"""How much more than needed is asked for over all lenders, as some have nothing or do not answer."""
+LEAST_PART = 0.34
+"""Least part of a token that one lender is asked for: three answers make an operation."""
 MOST_TOKENS = 64.0
 """Largest loan; keeps a broken datagram from moving a whole burst."""
 
@@ -100,9 +104,12 @@
         if now - self._asked_at.get(organisation, 0.0) < ASK_INTERVAL_S:
             return
         self._asked_at[organisation] = now
+        lenders = [self._peers.get(name) for name in self._allowances.lenders(organisation)]
         want = 1.0 + len(self._waiting.get(organisation, ()))
-        for peer in self._peers.others():
-            self._send((peer.host, peer.port), _ASK, organisation, want)
+        part = max(LEAST_PART, PARTS_ASKED * want / max(1, len(lenders)))
+        for peer in lenders:
+            if peer is not None:
+                self._send((peer.host, peer.port), _ASK, organisation, part)
 
     def _send(self, addr: tuple[str, int], kind: int, organisation: str, amount: float) -> None:
         if self._transport is not None:
@@ -121,6 +128,10 @@
         """Return the number of registered VMs, this one included."""
         return len(self._members)
 
+    def get(self, name: str) -> model.Member | None:
+        """Return a VM, or None if it is unknown."""
+        return self._members.get(name)
+
     def others(self) -> list[model.Member]:
         """Return the other VMs."""
         return [member for name, member in self._members.items() if name != self.own.name]
--- a/src/currantlead/sessions/settings.py
+++ b/src/currantlead/sessions/settings.py
@@ -26,7 +26,8 @@
         evacuation_s: An evacuated failure domain must get no new work after this time, in seconds.
         grace_s: Time between the order to stop and the kill, in seconds.
         rate_window_s: Window over which an organisation's operations are counted, in seconds.
-        rate_slack: Operations that a window may hold beyond rate and burst.
+        rate_excess: Part of rate and burst that a window may hold beyond them.
+        rate_slack: Operations that a window may hold beyond that.
     """
 
     revocation_s: float = 5.0
@@ -35,6 +36,7 @@
     evacuation_s: float = 5.0
     grace_s: float = 6.0
     rate_window_s: float = 5.0
+    rate_excess: float = 0.1
     rate_slack: float = 20.0
 
 
