Demote the old primary before a promotion is ordered

The old primary now stops leading after the known replicas have been paused, replicas that joined meanwhile are paused too, and only then the newest is chosen.

--- a/src/currantlead/platform/lines.py
+++ b/src/currantlead/platform/lines.py
@@ -159,6 +159,10 @@
         """Return the order to stop receiving below a term."""
         return self.encode_statement(OWN_ID, f"PAUSE {term}")
 
+    def encode_demote(self, term: int) -> bytes:
+        """Return the order to a primary of a lower term to become a replica."""
+        return self.encode_statement(OWN_ID, f"DEMOTE {term}")
+
     def encode_resume(self) -> bytes:
         """Return the order to receive again."""
         return self.encode_statement(OWN_ID, "RESUME")
--- a/src/currantlead/sessions/succession.py
+++ b/src/currantlead/sessions/succession.py
@@ -21,6 +21,8 @@
 ORDER_LIMIT_S = 15.0
 """A call without an answer may be carried out up to 12 s later."""
 RETRY_S = 0.5
+JOIN_S = 0.1
+"""Time for the entry of a replica that joined just before the demotion to reach this VM."""
 ORGANISATION = "-"
 """Who connects for status questions: no caller."""
 
@@ -114,37 +116,37 @@
         generation = await self._take_duty(service)
         if generation is None:
             return "another VM has the duty"
-        replicas = [
-            known.instance
-            for known in self._fleet.of_service(service)
-            if old is None or known.instance.id != old.instance.id
-        ]
-        _log.bind(service=service, generation=generation, replicas=[item.id for item in replicas]).info(
-            "promotion began: {}", reason
-        )
-        links = await asyncio.gather(*(self._connect(instance) for instance in replicas))
-        opened = [item for item in links if item is not None]
+        _log.bind(service=service, generation=generation).info("promotion began: {}", reason)
+        opened: list[link.Link] = []
         try:
-            return await self._elect(service, generation, len(replicas), opened)
+            return await self._elect(service, generation, old, opened)
         finally:
             for item in opened:
                 item.close()
 
-    async def _elect(self, service: str, generation: int, replicas: int, opened: list[link.Link]) -> str:
-        statuses = await asyncio.gather(*(self._ask(item, _codec.encode_status()) for item in opened))
-        terms = [status.term for status in statuses if status is not None]
-        if len(terms) < replicas:
-            return f"{replicas - len(terms)} of {replicas} replicas did not answer"
-        if any(status is not None and status.role is model.Role.PRIMARY for status in statuses):
-            return "a replica leads already"
-        term = max([*terms, *(status.held_term for status in statuses if status is not None)]) + 1
-        pauses = await asyncio.gather(*(self._ask(item, _codec.encode_pause(term)) for item in opened))
+    async def _elect(self, service: str, generation: int, old: fleet.Known | None, opened: list[link.Link]) -> str:
+        """Stop every replica and the old primary, and order the promotion of the newest replica.
+
+        The old primary is demoted if it can be reached: an order takes effect up to a second later, and a replica that
+        joins meanwhile would let it acknowledge commits that the chosen one lacks.
+        """
+        former = old.instance.id if old is not None else ""
+        term = await self._stop_replicas(service, former, opened, 0)
+        if isinstance(term, str):
+            await self._resume(service, generation, opened)
+            return term
+        if old is not None and await self._demote(old.instance, term):
+            await asyncio.sleep(JOIN_S)
+            joined = await self._stop_replicas(service, former, opened, term)
+            if isinstance(joined, str):
+                return joined
+        replicas = self._replicas(service, former)
         paused = [
             election.Paused(item.instance.id, status.received, self._stays(item.instance.id))
-            for item, status in zip(opened, pauses, strict=True)
-            if status is not None
+            for item, status in zip(opened, await self._ask_all(opened, _codec.encode_status()), strict=True)
+            if status is not None and status.held_term >= term
         ]
-        chosen = election.choose(paused, replicas)
+        chosen = election.choose(paused, len(replicas))
         if isinstance(chosen, str):
             await self._resume(service, generation, opened)
             return chosen
@@ -152,6 +154,38 @@
         _log.bind(service=service, generation=generation, positions=positions).info("chose {}", chosen.instance)
         return await self._order(service, chosen.instance, generation)
 
+    def _replicas(self, service: str, former: str) -> list[model.Instance]:
+        return [known.instance for known in self._fleet.of_service(service) if known.instance.id != former]
+
+    async def _stop_replicas(self, service: str, former: str, opened: list[link.Link], term: int) -> "int | str":
+        """Pause the replicas that are not in ``opened`` yet; return the term of the pause, or why it stopped."""
+        known = {item.instance.id for item in opened}
+        new = [instance for instance in self._replicas(service, former) if instance.id not in known]
+        links = [item for item in await asyncio.gather(*map(self._connect, new)) if item is not None]
+        opened += links
+        statuses = await self._ask_all(links, _codec.encode_status())
+        found = [status for status in statuses if status is not None]
+        if len(found) < len(new):
+            return f"{len(new) - len(found)} of {len(new)} replicas did not answer"
+        if any(status.role is model.Role.PRIMARY for status in found):
+            return "a replica leads already"
+        term = max([term, *(max(status.term, status.held_term) + 1 for status in found)])
+        await self._ask_all(links, _codec.encode_pause(term))
+        return term
+
+    async def _demote(self, instance: model.Instance, term: int) -> bool:
+        """Make the old primary a replica; return whether it answered."""
+        found = await self._connect(instance)
+        if found is None:
+            return False
+        status = await self._ask(found, _codec.encode_demote(term))
+        found.close()
+        _log.bind(instance=instance.id, position=str(status.received) if status else None).info("demoted")
+        return status is not None
+
+    async def _ask_all(self, links: list[link.Link], message: bytes) -> list[model.InstanceStatus | None]:
+        return list(await asyncio.gather(*(self._ask(item, message) for item in links)))
+
     async def _order(self, service: str, instance_id: str, generation: int) -> str:
         """Order the promotion until it is answered."""
         call = objects.promote_call(service, instance_id, self._vm, generation)
--- a/tests/standins/line_instance.py
+++ b/tests/standins/line_instance.py
@@ -328,6 +328,12 @@
             self.instance.held_term = int(rest)
         return self.do_status(request, text, rest)
 
+    def do_demote(self, request: str, text: str, rest: str) -> list[str]:
+        """Stop leading."""
+        if self.instance.leads and int(rest) > self.service.term:
+            self.service.primary = ""
+        return self.do_status(request, text, rest)
+
     def do_resume(self, request: str, text: str, rest: str) -> list[str]:
         """Receive again."""
         self.instance.held_term = 0
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -5,6 +5,7 @@
 import pytest
 
 from tests import session_bed
+from tests.standins import line_instance
 
 
 @pytest.fixture
@@ -26,7 +27,7 @@
     caller = await bed.caller()
     await caller.query("WRITE a1 x")
     bed.register("i-1", state="draining")
-    await until(lambda: bed.service.primary != "i-1")
+    await until(lambda: bed.service.primary not in ("i-1", ""))
     assert (await caller.query("READ a1"))[0] == "ROW x"
     assert (await caller.query("WRITE a2 y"))[0].startswith(f"DONE {bed.service.primary}")
     assert len(bed.store.promotions) == 1
@@ -58,7 +59,7 @@
     assert bed.store.promotions == []
     assert bed.service.instances["i-2"].held_term == 0
     bed.service.instances["i-3"].dark = False
-    await until(lambda: bed.service.primary != "i-1")
+    await until(lambda: bed.service.primary not in ("i-1", ""))
 
 
 async def test_replica_with_the_newest_commit_wins(bed):
@@ -68,7 +69,7 @@
     held = bed.service.instances["i-2"]
     held.held_term, held.held_at = 9, 0
     bed.register("i-1", state="draining")
-    await until(lambda: bed.service.primary != "i-1")
+    await until(lambda: bed.service.primary not in ("i-1", ""))
     assert bed.service.primary == "i-3"
     assert (await caller.query("READ a1"))[0] == "ROW x"
 
@@ -118,16 +119,52 @@
     await asyncio.sleep(2.0)
     assert bed.store.promotions == []
     assert all(instance.held_term == 0 for instance in bed.service.instances.values())
-    await until(lambda: bed.service.primary != "i-1")
+    await until(lambda: bed.service.primary not in ("i-1", ""))
 
 
 async def test_vm_that_has_the_duty_may_act_again(bed):
     """The holder's own entry starts no turn of another VM."""
     bed.register("i-1", state="draining")
-    await until(lambda: bed.service.primary != "i-1")
+    await until(lambda: bed.service.primary not in ("i-1", ""))
     first = bed.service.primary
     bed.register("i-1", state="ready")
     await asyncio.sleep(0.7)
     bed.register(first, state="draining")
-    await until(lambda: bed.service.primary != first, 2.5)
+    await until(lambda: bed.service.primary not in (first, ""), 2.5)
     assert bed.store.promotions[0][3] < bed.store.promotions[1][3]
+
+
+async def test_old_primary_is_demoted_before_the_order(bed):
+    """A replica that joins while an order is pending would acknowledge commits that the chosen one lacks."""
+    leaders = []
+    promote = bed.store.promote
+
+    def order(service, instance_id):
+        leaders.append(bed.service.primary)
+        return promote(service, instance_id)
+
+    bed.store.promote = order
+    bed.register("i-1", state="draining")
+    await until(lambda: bed.store.promotions)
+    assert leaders == [""]
+
+
+async def test_replica_that_joins_during_the_promotion_is_paused_too(bed):
+    """Every instance that may have acknowledged a commit has stopped before the choice."""
+    bed.service.instances["i-4"] = joined = line_instance.Instance(bed.service, "i-4")
+    await joined.start()
+    held = []
+    promote = bed.store.promote
+
+    def order(service, instance_id):
+        held.append(joined.held_term)
+        return promote(service, instance_id)
+
+    def join(method, path):
+        if path.endswith("/duties/svc1") and "i-4" not in bed.store.objects["servers"]:
+            asyncio.get_running_loop().call_later(0.05, bed.register, "i-4")
+
+    bed.store.promote, bed.store.fault = order, join
+    bed.register("i-1", state="draining")
+    await until(lambda: bed.store.promotions)
+    assert held[0] > 0
