--- a/tests/standins/line_instance.py
+++ b/tests/standins/line_instance.py
@@ -211,8 +211,8 @@
             await self.writer.drain()
 
     async def replicated(self, commit: Commit) -> bool:
-        """Wait until a replica has received a commit; return False if it was rolled back before that."""
-        while commit in self.service.log:
+        """Wait until a replica has received a commit; return False if the lead was lost before that."""
+        while self.instance.leads and commit in self.service.log:
             if any(self.service.received(item) >= commit.number for item in self.service.replicas()):
                 return True
             await asyncio.sleep(0.005)
