--- a/src/currantlead/sessions/daemon.py
+++ b/src/currantlead/sessions/daemon.py
@@ -4,7 +4,7 @@
 import functools
 import signal
 
-from currantlead import errors, logs
+from currantlead import errors, logs, timers
 from currantlead.control import model as control_model
 from currantlead.peers import network
 from currantlead.platform import lines, objects
@@ -16,15 +16,17 @@
     execution,
     fleet,
     freshness,
+    gate,
     holders,
     loans,
     measures,
+    members,
     model,
     pool,
     readiness,
     session,
     settings,
-    statements,
+    shares,
     store,
     succession,
 )
@@ -36,13 +38,6 @@
 HOUSEKEEPING_S = 0.25
 LOG_FLUSH_S = 0.2
 METRICS_PATH = "/metrics"
-SPARE_CONNECTIONS = 1
-"""Connections of each instance that stay free for promotions."""
-USED_SHARE = 0.6
-"""Share of an instance's connections that the VMs use: it keeps those of VMs without power for 3 s, and VMs that come
-back need some of their own meanwhile."""
-LEAST_CONNECTIONS = 2
-"""Connections of a VM to an instance, if all VMs can have that many: one alone is taken by a single transaction."""
 ROTATION_S = 2.2
 """The platform asks once a second and takes a VM out after two refusals; new sessions may come until then."""
 EXIT_MARGIN_S = 0.8
@@ -59,13 +54,14 @@
     def __init__(self, checked: settings.SessionSettings):
         """Create the parts; nothing is opened before ``run``."""
         self.settings = checked
+        self.timers = timers.TimerService()
         self.configuration = model.Configuration()
         self.confirmation = confirmation.Confirmation(checked.bounds)
         self.fleet = fleet.Fleet(checked.bounds, checked.region_of)
         self.samples = freshness.Freshness()
         self.allowances = allowance.Allowances(checked.vm, checked.bounds)
         own = model.Member(checked.vm, checked.peers.host, checked.peers.port, checked.domain)
-        self.peers = loans.Peers(own)
+        self.peers = members.Members(own)
         self.network = network.Network(
             checked.vm, checked.domain, host=checked.peers.host, port=checked.peers.port, advertise=str(checked.peers)
         )
@@ -76,6 +72,10 @@
         self.lender = loans.Lender(self.allowances, self.peers)
         self.measures = measures.Measures()
         self.store = store.Store(checked.store, self._count_store)
+        self.shares = shares.Shares(lambda: self.configuration, self.peers)
+        self.gate = gate.Gate(
+            lambda: self.configuration, self.confirmation, self.allowances, self.lender, self.measures
+        )
         self.executor = execution.Executor(
             self.fleet,
             self.samples,
@@ -123,10 +123,11 @@
         _log.bind(callers=str(callers), readiness=str(self.settings.readiness)).info("listening")
         self._follow()
         self._spawn(self._register())
-        self._spawn(self._housekeep())
+        self.timers.subscribe("housekeeping", HOUSEKEEPING_S, self._housekeep)
         if self.succession is not None:
-            self._spawn(self.succession.run())
-        self._spawn(self._flush_logs())
+            self.timers.subscribe("succession", succession.CHECK_S, self.succession.check)
+        self.timers.subscribe("log lines", LOG_FLUSH_S, logs.flush)
+        self.timers.start()
         await stop.wait()
         await self._leave(server)
 
@@ -152,6 +153,7 @@
 
     async def close(self) -> None:
         """End all tasks and close all connections at once."""
+        await self.timers.stop()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -171,60 +173,6 @@
             and self.confirmation.allows_new_sessions(clock.now())
         )
 
-    # What sessions ask (session.Gate)
-
-    def open(self, start: statements.Start) -> "session.Grant | statements.Failure":
-        """Return what a caller may use, or why it may not."""
-        confirmed = self.confirmation.allows_keys(clock.now())
-        route = self.configuration.routes.get(start.database)
-        if not confirmed and (route is None or not route.anonymous):
-            return statements.Failure(statements.Code.BUSY, "configuration is not confirmed")
-        if route is None:
-            return statements.Failure(statements.Code.UNKNOWN_DATABASE, start.database)
-        organisation = self.configuration.organisation_by_key.get(start.key, "")
-        if not organisation and not route.anonymous:
-            return statements.Failure(statements.Code.UNKNOWN_KEY, "unknown key")
-        return session.Grant(start.database, organisation, start.key)
-
-    def route(self, database: str) -> model.Route | None:
-        """Return the route in force for a database, or None."""
-        return self.configuration.routes.get(database)
-
-    def refuse(self, grant: session.Grant) -> statements.Failure | None:
-        """Say why a session's statements may not run now, or None."""
-        route = self.configuration.routes.get(grant.database)
-        if route is not None and route.anonymous and not grant.organisation:
-            return None
-        now = clock.now()
-        if not self.confirmation.allows_keys(now):
-            age_s = self.confirmation.age_s(now)
-            return statements.Failure(statements.Code.BUSY, f"configuration was confirmed {age_s:.1f} s ago")
-        if self.configuration.organisation_by_key.get(grant.key) != grant.organisation:
-            return statements.Failure(statements.Code.UNKNOWN_KEY, "the key was withdrawn")
-        return None
-
-    async def admit(self, grant: session.Grant) -> bool:
-        """Count one operation against the organisation's rate; return whether it may run."""
-        if not grant.organisation:
-            return True
-        admitted = await self.lender.admit(grant.organisation)
-        result = "admitted" if admitted else "over_rate"
-        self.measures.count("admissions", organisation=grant.organisation, result=result)
-        return admitted
-
-    def give_back(self, grant: session.Grant) -> None:
-        """Return the token of an operation that did not run."""
-        self.allowances.give_back(grant.organisation, clock.now())
-
-    def regions(self, grant: session.Grant, route: model.Route) -> frozenset[str] | None:
-        """Return the regions that statements may run in, empty for all, or None if no region is allowed."""
-        organisation = self.configuration.organisations.get(grant.organisation)
-        sets = [route.regions, organisation.regions if organisation is not None else frozenset()]
-        bounded = [regions for regions in sets if regions]
-        if not bounded:
-            return frozenset()
-        return frozenset.intersection(*bounded) or None
-
     # Shared state
 
     def _follow(self) -> None:
@@ -321,29 +269,7 @@
             ]
         )
         for connections in self._pools.values():
-            connections.limit = self._connection_limit(connections.instance.service)
-
-    def _connections(self, service: str) -> int:
-        found = self.configuration.services.get(service)
-        return found.connections if found is not None else 1
-
-    def _shared(self, service: str) -> bool:
-        """Tell whether an instance accepts fewer connections than there are VMs, so that holders lend them."""
-        return self._connections(service) - SPARE_CONNECTIONS < self.peers.count
-
-    def _holder_count(self, service: str) -> int:
-        return max(1, int(self._connections(service) * USED_SHARE) // holders.HELD_CONNECTIONS)
-
-    def _connection_limit(self, service: str) -> int:
-        connections = self._connections(service)
-        if self._shared(service):
-            return max(1, int(connections * USED_SHARE) // self._holder_count(service))
-        usual = int(connections * USED_SHARE) // self.peers.count
-        least = min(LEAST_CONNECTIONS, (connections - SPARE_CONNECTIONS) // self.peers.count)
-        return max(1, usual, least)
-
-    def _holders(self, instance: model.Instance) -> list[str]:
-        return holders.holders_of(instance, self.peers.all(), self._holder_count(instance.service))
+            connections.limit = self.shares.limit(connections.instance.service)
 
     def _refused(self, instance_id: str, error: errors.LinkRefusedError) -> None:
         self.measures.count("connections", result="full" if error.overloaded else "refused")
@@ -352,11 +278,11 @@
 
     def _pool_of(self, instance: model.Instance) -> "pool.Pool | borrowing.BorrowingPool":
         """Return where this VM's sessions get connections to an instance."""
-        if not self._shared(instance.service) or self.settings.vm in self._holders(instance):
+        if not self.shares.shared(instance.service) or self.settings.vm in self.shares.holders(instance):
             return self._own_pool_of(instance)
         found = self._borrowing.get(instance.id)
         if found is None:
-            found = self._borrowing[instance.id] = borrowing.BorrowingPool(instance, self.network, self._holders)
+            found = self._borrowing[instance.id] = borrowing.BorrowingPool(instance, self.network, self.shares.holders)
         return found
 
     def _own_pool_of(self, instance: model.Instance) -> pool.Pool:
@@ -366,7 +292,7 @@
             if found is not None:
                 found.close()
             found = self._pools[instance.id] = pool.Pool(
-                instance, self._connection_limit(instance.service), on_refused=self._refused
+                instance, self.shares.limit(instance.service), on_refused=self._refused
             )
         return found
 
@@ -394,7 +320,7 @@
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         served = session.Session(
-            reader, writer, self, self.executor, lambda: self.configuration.transaction_idle_s, self.measures
+            reader, writer, self.gate, self.executor, lambda: self.configuration.transaction_idle_s, self.measures
         )
         self.sessions.add(served)
         try:
@@ -404,17 +330,11 @@
 
     # Time
 
-    async def _housekeep(self) -> None:
-        while True:
-            await asyncio.sleep(HOUSEKEEPING_S)
-            self.holder.reclaim()
-            if self.fleet.drop_lapsed():
-                self._close_unused_pools()
-
-    async def _flush_logs(self) -> None:
-        while True:
-            await asyncio.sleep(LOG_FLUSH_S)
-            logs.flush()
+    def _housekeep(self) -> None:
+        """Forget instances and loans that are gone."""
+        self.holder.reclaim()
+        if self.fleet.drop_lapsed():
+            self._close_unused_pools()
 
     async def _leave(self, server: asyncio.Server) -> None:
         """Stop taking sessions, let open work end, and close sessions as they become idle."""
--- a/src/currantlead/sessions/execution.py
+++ b/src/currantlead/sessions/execution.py
@@ -1,11 +1,10 @@
 """Run callers' statements on instances: choose one, lend a connection, prove freshness, and say what came of it."""
 
-import dataclasses
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 
 from currantlead import errors, logs
 from currantlead.platform import lines
-from currantlead.sessions import clock, fleet, freshness, link, measures, model, placement, pool, statements
+from currantlead.sessions import clock, fleet, freshness, link, measures, model, operations, placement, pool, statements
 
 HOLD_SHARE = 0.24
 """Share of an operation's response-time objective that it may wait for an instance; a refusal later than a quarter of
@@ -20,98 +19,6 @@
 _codec = lines.InstanceLines()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Context:
-    """Describe on whose behalf a statement runs.
-
-    Attributes:
-        route: The route in force when the operation began.
-        organisation: Name that instances are told; empty for anonymous callers.
-        regions: Regions that it may run in; empty for all.
-        values: Session values.
-        prepared: Prepared statements of the session by name: whether they write, and their shape.
-        began_at: Reading at which the first byte of the operation had arrived, in seconds.
-        own_position: Position of the session's last commit, or None.
-        refuse: Says why the caller's statements may not run at this moment, or None; asked just before each is sent.
-    """
-
-    route: model.Route
-    organisation: str
-    regions: frozenset[str]
-    values: Mapping[str, str]
-    prepared: Mapping[str, tuple[bool, str]]
-    began_at: float
-    own_position: model.Position | None
-    refuse: Callable[[], statements.Failure | None]
-
-
-@dataclasses.dataclass(slots=True)
-class Lease:
-    """Hold a connection inside a transaction of a caller.
-
-    Attributes:
-        link: The connection.
-        pool: The pool that it goes back to.
-        leads: Whether only an instance that leads answers its statements.
-        wrote: Whether a write may have run in the transaction.
-    """
-
-    link: link.Link
-    pool: pool.Pool
-    leads: bool
-    wrote: bool = False
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Outcome:
-    """Hold the answer to a statement.
-
-    Attributes:
-        rows: Rows for the caller.
-        result: The instance's signature, or the failure.
-        position: Position of the instance's log, or None.
-        may_have_run: Whether the statement may have taken effect or been counted by an instance.
-    """
-
-    rows: tuple[str, ...]
-    result: statements.Done | statements.Failure
-    position: model.Position | None = None
-    may_have_run: bool = True
-
-    @classmethod
-    def refused(cls, code: statements.Code, detail: str) -> "Outcome":
-        """Return the outcome of a statement that was not sent to an instance, or was refused by it."""
-        return cls((), statements.Failure(code, detail), None, may_have_run=False)
-
-    @classmethod
-    def of(cls, reply: statements.Reply) -> "Outcome":
-        """Return the outcome that an instance's answer means."""
-        failure = reply.failure
-        return cls(reply.rows, reply.result, reply.position, failure is None or failure.code not in statements.NOT_RUN)
-
-    @property
-    def failure(self) -> statements.Failure | None:
-        """Return why the statement failed, or None."""
-        return self.result if isinstance(self.result, statements.Failure) else None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Target:
-    """Say where a statement may run, and under which proof of freshness.
-
-    Attributes:
-        known: The instance.
-        pool: Its connections here.
-        after: Position that its log must have; None where the instance has to prove that it leads.
-        sampled_at: Reading at which the position was asked for, or None without a position.
-    """
-
-    known: fleet.Known
-    pool: pool.Pool
-    after: model.Position | None
-    sampled_at: float | None = None
-
-
 class Executor:
     """Run statements; one object serves all sessions of the VM."""
 
@@ -132,12 +39,14 @@
         self._domain = domain
         self._region = region
 
-    async def run_single(self, context: Context, request_id: str, statement: statements.Statement) -> Outcome:
+    async def run_single(
+        self, context: operations.Context, request_id: str, statement: statements.Statement
+    ) -> operations.Outcome:
         """Run a statement outside a transaction."""
         writes = _writes(context, statement)
         deadline = clock.now() + context.route.timeout_s
 
-        async def use(target: Target, lent: link.Link) -> Outcome:
+        async def use(target: operations.Target, lent: link.Link) -> operations.Outcome:
             if writes or target.after is not None:
                 return await self._run_plain(context, request_id, statement, target, lent, deadline)
             return await self._run_guarded(context, request_id, statement, target, lent, deadline)
@@ -145,25 +54,25 @@
         return await self._attempt(context, request_id, writes=writes, deadline=deadline, use=use)
 
     async def begin(
-        self, context: Context, request_id: str, *, read_only: bool
-    ) -> tuple[Lease | None, statements.Failure | None]:
+        self, context: operations.Context, request_id: str, *, read_only: bool
+    ) -> tuple[operations.Lease | None, statements.Failure | None]:
         """Open a transaction on a connection; return it, or the reason why there is none."""
         deadline = clock.now() + context.route.timeout_s
-        leases: list[Lease] = []
+        leases: list[operations.Lease] = []
 
-        async def use(target: Target, lent: link.Link) -> Outcome:
+        async def use(target: operations.Target, lent: link.Link) -> operations.Outcome:
             await lent.synchronise(context.values, timeout_s=_left(deadline))
             reply = await self._begin(lent, target, deadline)
             if reply.failure is None:
-                leases.append(Lease(lent, target.pool, leads=target.after is None))
-            return Outcome.of(reply)
+                leases.append(operations.Lease(lent, target.pool, leads=target.after is None))
+            return operations.Outcome.of(reply)
 
         outcome = await self._attempt(context, request_id, writes=not read_only, deadline=deadline, use=use)
         return (leases[0], None) if leases else (None, outcome.failure)
 
     async def run_inside(
-        self, context: Context, lease: Lease, request_id: str, statement: statements.Statement
-    ) -> Outcome:
+        self, context: operations.Context, lease: operations.Lease, request_id: str, statement: statements.Statement
+    ) -> operations.Outcome:
         """Run a statement of an open transaction on its connection.
 
         Raises:
@@ -188,9 +97,9 @@
             self._fleet.note_write(lent.instance.id, answered=True)
         # Only the commit of a transaction that wrote nothing is answered by an instance that has lost the lead.
         self._record(context, reply, proves_lead=lease.leads and (lease.wrote or not commits))
-        return Outcome.of(reply)
+        return operations.Outcome.of(reply)
 
-    async def roll_back(self, lease: Lease) -> None:
+    async def roll_back(self, lease: operations.Lease) -> None:
         """End a transaction without effect and give its connection back."""
         lent = lease.link
         if lent.open and lent.state is not statements.TransactionState.IDLE:
@@ -200,11 +109,13 @@
                 _log.bind(instance=lent.instance.id).info("rollback unanswered, connection dropped: {}", error)
         lease.pool.release(lent)
 
-    async def _attempt(self, context: Context, request_id: str, *, writes: bool, deadline: float, use) -> Outcome:
+    async def _attempt(
+        self, context: operations.Context, request_id: str, *, writes: bool, deadline: float, use
+    ) -> operations.Outcome:
         """Try instances until one serves, refuses for good, or the time to wait is over."""
         hold_until = clock.now() + min(context.route.target_s, context.route.timeout_s) * HOLD_SHARE
         tried: set[str] = set()
-        last = Outcome.refused(statements.Code.BUSY, "no instance")
+        last = operations.Outcome.refused(statements.Code.BUSY, "no instance")
         while True:
             now = clock.now()
             target = self._choose(context, writes, tried, now)
@@ -223,17 +134,17 @@
                     timeout_s=max(0.001, hold_until - now),
                 )
             except errors.PoolUnavailableError as error:
-                last = Outcome.refused(statements.Code.BUSY, str(error))
+                last = operations.Outcome.refused(statements.Code.BUSY, str(error))
                 tried.add(instance.id)
                 continue
             except errors.LinkRefusedError as error:
-                last = Outcome.refused(statements.Code.BUSY, str(error))
+                last = operations.Outcome.refused(statements.Code.BUSY, str(error))
                 tried.add(instance.id)
                 continue
             outcome = await self._use(context, request_id, target, lent, use, writes, deadline)
             self._report(context, request_id, target, outcome, lent_after_s=clock.now() - now)
             if outcome is None or self._try_elsewhere(outcome, target):
-                last = outcome or Outcome.refused(statements.Code.TIMEOUT, f"{instance.id} did not answer")
+                last = outcome or operations.Outcome.refused(statements.Code.TIMEOUT, f"{instance.id} did not answer")
                 tried.add(instance.id)
                 if clock.now() < hold_until:
                     continue
@@ -241,14 +152,21 @@
             return outcome
 
     async def _use(
-        self, context: Context, request_id: str, target: Target, lent: link.Link, use, writes: bool, deadline: float
-    ) -> Outcome | None:
+        self,
+        context: operations.Context,
+        request_id: str,
+        target: operations.Target,
+        lent: link.Link,
+        use,
+        writes: bool,
+        deadline: float,
+    ) -> operations.Outcome | None:
         """Run one attempt; None means that nothing came back and that a further attempt is harmless."""
         instance = target.known.instance
         refusal = context.refuse()
         if refusal is not None:
             target.pool.release(lent)
-            return Outcome((), refusal, None, may_have_run=False)
+            return operations.Outcome((), refusal, None, may_have_run=False)
         if not self._may_use(target):
             target.pool.release(lent)
             return None
@@ -261,7 +179,9 @@
                 self._fleet.suspect(instance.id, str(error))
             if writes and error.sent:
                 self._fleet.note_write(instance.id, answered=False)
-                return Outcome((), statements.Failure(statements.Code.IN_DOUBT, f"{instance.id} did not answer"))
+                return operations.Outcome(
+                    (), statements.Failure(statements.Code.IN_DOUBT, f"{instance.id} did not answer")
+                )
             return None
         except BaseException:
             target.pool.discard(lent)
@@ -269,14 +189,20 @@
         if lent.state is statements.TransactionState.IDLE:
             target.pool.release(lent)
         elif outcome.failure is not None:
-            await self.roll_back(Lease(lent, target.pool, leads=False))
+            await self.roll_back(operations.Lease(lent, target.pool, leads=False))
         self._fleet.trust(instance.id)
         if writes and outcome.failure is None:
             self._fleet.note_write(instance.id, answered=True)
         return outcome
 
     def _report(
-        self, context: Context, request_id: str, target: Target, outcome: Outcome | None, *, lent_after_s: float
+        self,
+        context: operations.Context,
+        request_id: str,
+        target: operations.Target,
+        outcome: operations.Outcome | None,
+        *,
+        lent_after_s: float,
     ) -> None:
         """Write down one attempt with what decided it."""
         result = _name(outcome)
@@ -297,7 +223,7 @@
             margin_s = context.route.max_staleness_s - (context.began_at - target.sampled_at)
             self._measures.record("freshness_margin", margin_s, consistency=context.route.consistency.value)
 
-    def _try_elsewhere(self, outcome: Outcome, target: Target) -> bool:
+    def _try_elsewhere(self, outcome: operations.Outcome, target: operations.Target) -> bool:
         """Note what a refusal shows, and tell whether another attempt may succeed."""
         failure, instance = outcome.failure, target.known.instance
         if failure is None or failure.code not in statements.NOT_RUN:
@@ -308,7 +234,9 @@
             self._fleet.depose(instance.id)
         return True
 
-    def _choose(self, context: Context, writes: bool, tried: set[str], now: float) -> Target | None:
+    def _choose(
+        self, context: operations.Context, writes: bool, tried: set[str], now: float
+    ) -> operations.Target | None:
         """Return where the next attempt goes, or None if no instance is left."""
         service = context.route.service
         if not writes and context.route.consistency is not model.Consistency.PRIMARY:
@@ -321,11 +249,11 @@
             return None
         if not self._allowed(context, primary):
             return None
-        return Target(primary, self._pool_of(primary.instance), None)
+        return operations.Target(primary, self._pool_of(primary.instance), None)
 
     def _choose_reader(
-        self, context: Context, after: model.Position, sampled_at: float, tried: set[str], now: float
-    ) -> Target | None:
+        self, context: operations.Context, after: model.Position, sampled_at: float, tried: set[str], now: float
+    ) -> operations.Target | None:
         primary = self._fleet.primary(context.route.service)
         usable = {}
         candidates = []
@@ -336,7 +264,7 @@
                 continue
             connections = self._pool_of(known.instance)
             behind = known.behind is not None and known.behind[0] <= after and now < known.behind[1]
-            usable[known.instance.id] = Target(known, connections, after, sampled_at)
+            usable[known.instance.id] = operations.Target(known, connections, after, sampled_at)
             candidates.append(
                 placement.Candidate(
                     id=known.instance.id,
@@ -354,7 +282,7 @@
         ordered = placement.order_readers(candidates)
         return usable[ordered[0].id] if ordered else None
 
-    def _may_use(self, target: Target) -> bool:
+    def _may_use(self, target: operations.Target) -> bool:
         """Tell whether an instance still takes the statement after the wait for a connection."""
         known = self._fleet.get(target.known.instance.id)
         if known is None:
@@ -362,18 +290,18 @@
         leads = self._fleet.primary(known.instance.service) is known
         return self._fleet.takes_primary_work(known) if leads else self._fleet.takes_reads(known)
 
-    def _allowed(self, context: Context, known: fleet.Known) -> bool:
+    def _allowed(self, context: operations.Context, known: fleet.Known) -> bool:
         return not context.regions or self._fleet.region(known) in context.regions
 
     async def _run_plain(
         self,
-        context: Context,
+        context: operations.Context,
         request_id: str,
         statement: statements.Statement,
-        target: Target,
+        target: operations.Target,
         lent: link.Link,
         deadline: float,
-    ) -> Outcome:
+    ) -> operations.Outcome:
         await lent.synchronise(context.values, timeout_s=_left(deadline))
         text = await self._text(context, statement, lent, deadline)
         writes = _writes(context, statement)
@@ -381,35 +309,37 @@
         (reply,) = await lent.exchange(_codec.encode_statement(request_id, text, target.after), timeout_s=limit)
         self._record(context, reply, proves_lead=writes)
         self._forget_unknown(lent, reply)
-        return Outcome.of(reply)
+        return operations.Outcome.of(reply)
 
     async def _run_guarded(
         self,
-        context: Context,
+        context: operations.Context,
         request_id: str,
         statement: statements.Statement,
-        target: Target,
+        target: operations.Target,
         lent: link.Link,
         deadline: float,
-    ) -> Outcome:
+    ) -> operations.Outcome:
         """Run a read inside the proxy's own transaction, which only an instance that leads accepts."""
         await lent.synchronise(context.values, timeout_s=_left(deadline))
         text = await self._text(context, statement, lent, deadline)
         begun = await self._begin(lent, target, deadline)
         if begun.failure is not None:
-            return Outcome.of(begun)
+            return operations.Outcome.of(begun)
         self._record(context, begun, proves_lead=True)
         messages = _codec.encode_statement(request_id, text) + _codec.encode_rollback()
         reply, _ = await lent.exchange(messages, count=2, timeout_s=_left(deadline))
         self._forget_unknown(lent, reply)
-        return Outcome.of(reply)
+        return operations.Outcome.of(reply)
 
-    async def _begin(self, lent: link.Link, target: Target, deadline: float) -> statements.Reply:
+    async def _begin(self, lent: link.Link, target: operations.Target, deadline: float) -> statements.Reply:
         message = _codec.encode_begin(read_only=target.after is not None, after=target.after)
         (reply,) = await lent.exchange(message, timeout_s=_left(deadline))
         return reply
 
-    async def _text(self, context: Context, statement: statements.Statement, lent: link.Link, deadline: float) -> str:
+    async def _text(
+        self, context: operations.Context, statement: statements.Statement, lent: link.Link, deadline: float
+    ) -> str:
         if statement.kind is not statements.Kind.EXECUTE:
             return statement.text
         writes, shape = context.prepared[statement.name]
@@ -420,18 +350,18 @@
         if reply.failure is not None and reply.failure.code is statements.Code.UNKNOWN_STATEMENT:
             lent.forget_prepared()
 
-    def _record(self, context: Context, reply: statements.Reply, *, proves_lead: bool) -> None:
+    def _record(self, context: operations.Context, reply: statements.Reply, *, proves_lead: bool) -> None:
         if proves_lead and reply.failure is None and reply.position is not None:
             self._samples.record(context.route.service, reply.asked_at, reply.position)
 
 
-def _name(outcome: Outcome | None) -> str:
+def _name(outcome: operations.Outcome | None) -> str:
     if outcome is None:
         return "unanswered"
     return "ran" if outcome.failure is None else outcome.failure.code.value
 
 
-def _writes(context: Context, statement: statements.Statement) -> bool:
+def _writes(context: operations.Context, statement: statements.Statement) -> bool:
     if statement.kind is statements.Kind.EXECUTE:
         return context.prepared[statement.name][0]
     return statement.writes
--- a/src/currantlead/sessions/loans.py
+++ b/src/currantlead/sessions/loans.py
@@ -1,13 +1,12 @@
 """Exchange tokens of organisations' rates between VMs, in msgpack datagrams."""
 
 import asyncio
-from collections.abc import Iterable
 from typing import Any
 
 import msgpack
 
 from currantlead import logs
-from currantlead.sessions import allowance, clock, model, settings
+from currantlead.sessions import allowance, clock, members, settings
 
 ASK_INTERVAL_S = 0.06
 """Time between two questions for tokens of one organisation: a round trip between regions is about 25 ms."""
@@ -27,7 +26,7 @@
 class Lender(asyncio.DatagramProtocol):
     """Admit operations from this VM's slices, and from what peers lend."""
 
-    def __init__(self, allowances: allowance.Allowances, peers: "Peers"):
+    def __init__(self, allowances: allowance.Allowances, peers: members.Members):
         self._allowances = allowances
         self._peers = peers
         self._transport: asyncio.DatagramTransport | None = None
@@ -114,45 +113,3 @@
     def _send(self, addr: tuple[str, int], kind: int, organisation: str, amount: float) -> None:
         if self._transport is not None:
             self._transport.sendto(msgpack.packb([kind, organisation, amount]), addr)
-
-
-class Peers:
-    """Keep the VMs that registered themselves in the store."""
-
-    def __init__(self, own: model.Member):
-        self.own = own
-        self._members: dict[str, model.Member] = {own.name: own}
-
-    @property
-    def count(self) -> int:
-        """Return the number of registered VMs, this one included."""
-        return len(self._members)
-
-    def get(self, name: str) -> model.Member | None:
-        """Return a VM, or None if it is unknown."""
-        return self._members.get(name)
-
-    def others(self) -> list[model.Member]:
-        """Return the other VMs."""
-        return [member for name, member in self._members.items() if name != self.own.name]
-
-    def all(self) -> list[model.Member]:
-        """Return all VMs."""
-        return list(self._members.values())
-
-    def names(self) -> list[str]:
-        """Return the names of all VMs in order."""
-        return sorted(self._members)
-
-    def update(self, present: Iterable[model.Member], removed: Iterable[str]) -> None:
-        """Take changed and removed entries."""
-        for member in present:
-            self._members[member.name] = member
-        for name in removed:
-            self._members.pop(name, None)
-        self._members[self.own.name] = self.own
-
-    def replace(self, present: Iterable[model.Member]) -> None:
-        """Take the whole list."""
-        self._members = {member.name: member for member in present}
-        self._members[self.own.name] = self.own
--- /dev/null
+++ b/src/currantlead/sessions/members.py
@@ -0,0 +1,47 @@
+"""The VMs of the system, as they registered themselves in the store."""
+
+from collections.abc import Iterable
+
+from currantlead.sessions import model
+
+
+class Members:
+    """Keep the VMs that registered themselves in the store."""
+
+    def __init__(self, own: model.Member):
+        self.own = own
+        self._members: dict[str, model.Member] = {own.name: own}
+
+    @property
+    def count(self) -> int:
+        """Return the number of registered VMs, this one included."""
+        return len(self._members)
+
+    def get(self, name: str) -> model.Member | None:
+        """Return a VM, or None if it is unknown."""
+        return self._members.get(name)
+
+    def others(self) -> list[model.Member]:
+        """Return the other VMs."""
+        return [member for name, member in self._members.items() if name != self.own.name]
+
+    def all(self) -> list[model.Member]:
+        """Return all VMs."""
+        return list(self._members.values())
+
+    def names(self) -> list[str]:
+        """Return the names of all VMs in order."""
+        return sorted(self._members)
+
+    def update(self, present: Iterable[model.Member], removed: Iterable[str]) -> None:
+        """Take changed and removed entries."""
+        for member in present:
+            self._members[member.name] = member
+        for name in removed:
+            self._members.pop(name, None)
+        self._members[self.own.name] = self.own
+
+    def replace(self, present: Iterable[model.Member]) -> None:
+        """Take the whole list."""
+        self._members = {member.name: member for member in present}
+        self._members[self.own.name] = self.own
--- a/src/currantlead/sessions/session.py
+++ b/src/currantlead/sessions/session.py
@@ -3,11 +3,10 @@
 import asyncio
 import dataclasses
 from collections.abc import Awaitable, Callable
-from typing import Protocol
 
 from currantlead import errors, logs
 from currantlead.platform import lines
-from currantlead.sessions import clock, execution, measures, model, statements
+from currantlead.sessions import clock, execution, gate, measures, model, operations, statements
 
 START_TIMEOUT_S = 5.0
 """A caller that connects and sends nothing is dropped after this time."""
@@ -18,43 +17,6 @@
 _codec = lines.CallerLines()
 
 
-class Gate(Protocol):
-    """Describe what a session asks of its VM before statements may run."""
-
-    def open(self, start: statements.Start) -> "Grant | statements.Failure":
-        """Return what a caller may use, or why it may not."""
-
-    def route(self, database: str) -> model.Route | None:
-        """Return the route in force for a database, or None."""
-
-    def refuse(self, grant: "Grant") -> statements.Failure | None:
-        """Say why a session's statements may not run now, or None."""
-
-    async def admit(self, grant: "Grant") -> bool:
-        """Count one operation against the organisation's rate; return whether it may run."""
-
-    def give_back(self, grant: "Grant") -> None:
-        """Return the token of an operation that did not run."""
-
-    def regions(self, grant: "Grant", route: model.Route) -> frozenset[str] | None:
-        """Return the regions that statements may run in, empty for all, or None if no region is allowed."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Grant:
-    """Hold who a caller is. The key is checked again before each statement.
-
-    Attributes:
-        database: Database that the session is for.
-        organisation: Name of the organisation; empty for callers without a valid key on open routes.
-        key: The caller's key.
-    """
-
-    database: str
-    organisation: str
-    key: str = dataclasses.field(repr=False)
-
-
 @dataclasses.dataclass(slots=True)
 class _Transaction:
     """Hold a caller's transaction; the connection is taken with its first statement.
@@ -67,9 +29,9 @@
         aborted: Whether the VM leaves and refuses further statements.
     """
 
-    context: execution.Context
+    context: operations.Context
     read_only: bool
-    lease: execution.Lease | None = None
+    lease: operations.Lease | None = None
     failed: bool = False
     aborted: bool = False
 
@@ -85,7 +47,7 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        gate: Gate,
+        admission: gate.Gate,
         executor: execution.Executor,
         transaction_idle_s: Callable[[], float],
         measured: measures.Measures,
@@ -94,7 +56,7 @@
         self._measures = measured
         self._reader = reader
         self._writer = writer
-        self._gate = gate
+        self._gate = admission
         self._executor = executor
         self._transaction_idle_s = transaction_idle_s
         self._values: dict[str, str] = {}
@@ -103,7 +65,7 @@
         self._own_position: model.Position | None = None
         self._ended = False
         self._leaving = False
-        self._grant = Grant("", "", "")
+        self._grant = gate.Grant("", "", "")
         self._handlers: dict[statements.Kind, Callable[[statements.Query, float], Awaitable[None]]] = {
             statements.Kind.BEGIN: self._begin,
             statements.Kind.BEGIN_READ: self._begin,
@@ -232,7 +194,7 @@
         self._fail(failure)
         self._ready(None)
 
-    async def _answer(self, outcome: execution.Outcome) -> None:
+    async def _answer(self, outcome: operations.Outcome) -> None:
         if outcome.failure is not None:
             await self._refuse(outcome.failure)
         elif isinstance(outcome.result, statements.Done):
@@ -267,7 +229,7 @@
             return
         context = await self._admit(began_at)
         if isinstance(context, statements.Failure):
-            self._log_outcome(query, None, began_at, execution.Outcome.refused(context.code, context.detail))
+            self._log_outcome(query, None, began_at, operations.Outcome.refused(context.code, context.detail))
             await self._refuse(context)
             return
         self._transaction = _Transaction(context, query.statement.kind is statements.Kind.BEGIN_READ)
@@ -297,7 +259,7 @@
             return
         context = await self._admit(began_at)
         if isinstance(context, statements.Failure):
-            outcome = execution.Outcome.refused(context.code, context.detail)
+            outcome = operations.Outcome.refused(context.code, context.detail)
         else:
             outcome = await self._executor.run_single(context, query.id, statement)
             if not outcome.may_have_run:
@@ -315,18 +277,18 @@
         self._log_outcome(query, transaction.context, began_at, outcome)
         await self._answer(outcome)
 
-    async def _inside(self, transaction: _Transaction, query: statements.Query) -> execution.Outcome:
+    async def _inside(self, transaction: _Transaction, query: statements.Query) -> operations.Outcome:
         """Run a statement of the transaction, on a connection taken before if there is none yet."""
         context = transaction.context
         if transaction.aborted:
-            return execution.Outcome.refused(statements.Code.ABORTED, "this VM is leaving")
+            return operations.Outcome.refused(statements.Code.ABORTED, "this VM is leaving")
         refusal = context.refuse()
         if refusal is not None:
-            return execution.Outcome((), refusal)
+            return operations.Outcome((), refusal)
         if transaction.lease is None:
             lease, failure = await self._executor.begin(context, query.id, read_only=transaction.read_only)
             if lease is None:
-                return execution.Outcome((), failure or statements.Failure(statements.Code.BUSY), may_have_run=False)
+                return operations.Outcome((), failure or statements.Failure(statements.Code.BUSY), may_have_run=False)
             transaction.lease = lease
         try:
             return await self._executor.run_inside(context, transaction.lease, query.id, query.statement)
@@ -334,9 +296,9 @@
             _log.bind(request=query.id, instance=transaction.lease.link.instance.id).info("transaction lost: {}", error)
             commits = query.statement.kind is statements.Kind.COMMIT
             if commits and error.sent and transaction.lease.wrote:
-                return execution.Outcome((), statements.Failure(statements.Code.IN_DOUBT, "commit unanswered"))
+                return operations.Outcome((), statements.Failure(statements.Code.IN_DOUBT, "commit unanswered"))
             # Without a commit the instance rolls back when the connection ends.
-            return execution.Outcome((), statements.Failure(statements.Code.ABORTED, "connection lost"))
+            return operations.Outcome((), statements.Failure(statements.Code.ABORTED, "connection lost"))
 
     async def _commit(self, query: statements.Query, began_at: float) -> None:
         transaction = self._transaction
@@ -344,7 +306,7 @@
             await self._refuse(statements.Failure(statements.Code.MALFORMED, "no transaction is open"))
             return
         if transaction.failed:
-            outcome = execution.Outcome.refused(statements.Code.ABORTED, "the transaction had failed")
+            outcome = operations.Outcome.refused(statements.Code.ABORTED, "the transaction had failed")
         else:
             outcome = await self._inside(transaction, query)
             if outcome.failure is None and transaction.lease is not None and transaction.lease.wrote:
@@ -353,7 +315,7 @@
         await self._end_transaction()
         await self._answer(outcome)
 
-    async def _admit(self, began_at: float) -> "execution.Context | statements.Failure":
+    async def _admit(self, began_at: float) -> "operations.Context | statements.Failure":
         """Check route, key and rate of a new operation."""
         grant = self._grant
         route = self._gate.route(grant.database)
@@ -367,7 +329,7 @@
             return statements.Failure(statements.Code.BUSY, "no region is allowed to both route and organisation")
         if not await self._gate.admit(grant):
             return statements.Failure(statements.Code.BUSY, f"over the rate, retry-after-ms={RETRY_MS}")
-        return execution.Context(
+        return operations.Context(
             route=route,
             organisation=grant.organisation,
             regions=regions,
@@ -394,12 +356,12 @@
     def _log_outcome(
         self,
         query: statements.Query,
-        context: "execution.Context | statements.Failure | None",
+        context: "operations.Context | statements.Failure | None",
         began_at: float,
-        outcome: execution.Outcome,
+        outcome: operations.Outcome,
     ) -> None:
         """Count the outcome; write it down if it is no success, which the attempts already tell."""
-        consistency = context.route.consistency.value if isinstance(context, execution.Context) else "none"
+        consistency = context.route.consistency.value if isinstance(context, operations.Context) else "none"
         failure = outcome.failure
         took_s = clock.now() - began_at
         kind = query.statement.kind.value
--- a/src/currantlead/sessions/succession.py
+++ b/src/currantlead/sessions/succession.py
@@ -14,6 +14,7 @@
 from currantlead.sessions import clock, election, fleet, http, link, model, settings, store
 
 CHECK_S = 0.1
+"""Interval of checks, in seconds."""
 STATUS_TIMEOUT_S = 0.5
 """A live instance answers a status question in milliseconds; opening the connection takes up to 30 ms more."""
 ORDER_TIMEOUT_S = 1.0
@@ -69,14 +70,11 @@
         if known is None or revision > known.revision:
             self._duties[service] = _Duty(holder, revision, clock.now())
 
-    async def run(self) -> None:
-        """Check every service again and again, until cancelled."""
-        while True:
-            await asyncio.sleep(CHECK_S)
-            for service in self._fleet.services():
-                if service not in self._running and self._is_due(service):
-                    task = asyncio.get_running_loop().create_task(self._replace(service))
-                    self._running[service] = task
+    def check(self) -> None:
+        """Start the promotions that are due; to be called regularly."""
+        for service in self._fleet.services():
+            if service not in self._running and self._is_due(service):
+                self._running[service] = asyncio.get_running_loop().create_task(self._replace(service))
 
     def _is_due(self, service: str) -> bool:
         """Tell whether a primary has needed a successor for as long as this VM's rank demands."""
--- a/tests/test_holders.py
+++ b/tests/test_holders.py
@@ -52,7 +52,7 @@
         second = await bed.add_daemon("vm-2", "z1")
         await asyncio.sleep(0.2)
         known = bed.daemon.fleet.get("i-1").instance
-        (holder,) = bed.daemon._holders(known)
+        (holder,) = bed.daemon.shares.holders(known)
         daemons = {"vm-1": bed.daemon, "vm-2": second}
         yield bed, daemons.pop(holder), daemons.popitem()[1]
 
