--- a/src/currantlead/sessions/allowance.py
+++ b/src/currantlead/sessions/allowance.py
@@ -126,6 +126,13 @@
         window = organisation.rate * bounds.rate_window_s + organisation.burst
         return organisation.burst + TOLERANCE_SHARE * (bounds.rate_excess * window + bounds.rate_slack)
 
+    def describe(self, organisation: str) -> dict[str, float]:
+        """Return what a refusal was decided on: tokens at hand here, the slice's rate a second and its burst."""
+        found = self._slices.get(organisation)
+        if found is None:
+            return {}
+        return {"tokens": round(found.level, 2), "rate_here": round(found.rate, 2), "burst_here": round(found.burst, 1)}
+
     def lenders(self, organisation: str) -> list[str]:
         """Return the other VMs that own slices of an organisation's rate."""
         return [name for name in self._owners.get(organisation, ()) if name != self._vm]
--- a/src/currantlead/sessions/loans.py
+++ b/src/currantlead/sessions/loans.py
@@ -59,7 +59,8 @@
             if self._allowances.take(organisation, now):
                 return True
             if now >= deadline:
-                _log.bind(organisation=organisation).info("over the rate")
+                decided_on = self._allowances.describe(organisation)
+                _log.bind(organisation=organisation, waited_s=WAIT_S, **decided_on).info("over the rate")
                 return False
             self._ask(organisation, now)
             await self._wait(organisation, min(ASK_INTERVAL_S, deadline - now))
