--- a/src/currantlead/sessions/execution.py
+++ b/src/currantlead/sessions/execution.py
@@ -1,6 +1,6 @@
 """Run callers' statements on instances: choose one, lend a connection, prove freshness, and say what came of it."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from currantlead import errors, logs
 from currantlead.platform import lines
@@ -15,6 +15,9 @@
 RETRY_PAUSE_S = 0.02
 """Pause after all candidates refused, unless something changes before."""
 
+Use = Callable[[operations.Target, link.Conversation], Awaitable[operations.Outcome]]
+"""Runs one attempt on a lent connection."""
+
 _log = logs.part("route")
 _codec = lines.InstanceLines()
 
@@ -46,7 +49,7 @@
         writes = _writes(context, statement)
         deadline = clock.now() + context.route.timeout_s
 
-        async def use(target: operations.Target, lent: link.Link) -> operations.Outcome:
+        async def use(target: operations.Target, lent: link.Conversation) -> operations.Outcome:
             if writes or target.after is not None:
                 return await self._run_plain(context, request_id, statement, target, lent, deadline)
             return await self._run_guarded(context, request_id, statement, target, lent, deadline)
@@ -60,7 +63,7 @@
         deadline = clock.now() + context.route.timeout_s
         leases: list[operations.Lease] = []
 
-        async def use(target: operations.Target, lent: link.Link) -> operations.Outcome:
+        async def use(target: operations.Target, lent: link.Conversation) -> operations.Outcome:
             await lent.synchronise(context.values, timeout_s=_left(deadline))
             reply = await self._begin(lent, target, deadline)
             if reply.failure is None:
@@ -110,7 +113,7 @@
         lease.pool.release(lent)
 
     async def _attempt(
-        self, context: operations.Context, request_id: str, *, writes: bool, deadline: float, use
+        self, context: operations.Context, request_id: str, *, writes: bool, deadline: float, use: Use
     ) -> operations.Outcome:
         """Try instances until one serves, refuses for good, or the time to wait is over."""
         hold_until = clock.now() + min(context.route.target_s, context.route.timeout_s) * HOLD_SHARE
@@ -144,7 +147,9 @@
             outcome = await self._use(context, request_id, target, lent, use, writes, deadline)
             self._report(context, request_id, target, outcome, lent_after_s=clock.now() - now)
             if outcome is None or self._try_elsewhere(outcome, target):
-                last = outcome or operations.Outcome.refused(statements.Code.TIMEOUT, f"{instance.id} did not answer")
+                # A read may have run before its answer was lost, so it counts against the rate.
+                failure = statements.Failure(statements.Code.TIMEOUT, f"{instance.id} did not answer")
+                last = outcome or operations.Outcome((), failure)
                 tried.add(instance.id)
                 if clock.now() < hold_until:
                     continue
@@ -156,8 +161,8 @@
         context: operations.Context,
         request_id: str,
         target: operations.Target,
-        lent: link.Link,
-        use,
+        lent: link.Conversation,
+        use: Use,
         writes: bool,
         deadline: float,
     ) -> operations.Outcome | None:
@@ -191,7 +196,8 @@
         elif outcome.failure is not None:
             await self.roll_back(operations.Lease(lent, target.pool, leads=False))
         self._fleet.trust(instance.id)
-        if writes and outcome.failure is None:
+        # The start of a transaction is answered without any replica.
+        if writes and outcome.failure is None and lent.state is statements.TransactionState.IDLE:
             self._fleet.note_write(instance.id, answered=True)
         return outcome
 
@@ -299,7 +305,7 @@
         request_id: str,
         statement: statements.Statement,
         target: operations.Target,
-        lent: link.Link,
+        lent: link.Conversation,
         deadline: float,
     ) -> operations.Outcome:
         await lent.synchronise(context.values, timeout_s=_left(deadline))
@@ -317,7 +323,7 @@
         request_id: str,
         statement: statements.Statement,
         target: operations.Target,
-        lent: link.Link,
+        lent: link.Conversation,
         deadline: float,
     ) -> operations.Outcome:
         """Run a read inside the proxy's own transaction, which only an instance that leads accepts."""
@@ -332,13 +338,13 @@
         self._forget_unknown(lent, reply)
         return operations.Outcome.of(reply)
 
-    async def _begin(self, lent: link.Link, target: operations.Target, deadline: float) -> statements.Reply:
+    async def _begin(self, lent: link.Conversation, target: operations.Target, deadline: float) -> statements.Reply:
         message = _codec.encode_begin(read_only=target.after is not None, after=target.after)
         (reply,) = await lent.exchange(message, timeout_s=_left(deadline))
         return reply
 
     async def _text(
-        self, context: operations.Context, statement: statements.Statement, lent: link.Link, deadline: float
+        self, context: operations.Context, statement: statements.Statement, lent: link.Conversation, deadline: float
     ) -> str:
         if statement.kind is not statements.Kind.EXECUTE:
             return statement.text
@@ -346,7 +352,7 @@
         name = await lent.prepare(writes, shape, timeout_s=_left(deadline))
         return _codec.execute_text(name, statement.argument)
 
-    def _forget_unknown(self, lent: link.Link, reply: statements.Reply) -> None:
+    def _forget_unknown(self, lent: link.Conversation, reply: statements.Reply) -> None:
         if reply.failure is not None and reply.failure.code is statements.Code.UNKNOWN_STATEMENT:
             lent.forget_prepared()
 
--- a/src/currantlead/sessions/http.py
+++ b/src/currantlead/sessions/http.py
@@ -42,6 +42,8 @@
     ) -> Response:
         """Send a call and return its response.
 
+        A read is sent once more if a connection kept from before turns out to be dead.
+
         Args:
             method: HTTP method.
             path: Path with query.
@@ -52,6 +54,20 @@
         Raises:
             errors.HttpUnavailableError: There was no complete response; the call may have taken effect.
         """
+        kept = self._streams is not None
+        try:
+            return await self._send(method, path, body=body, headers=headers, timeout_s=timeout_s)
+        except errors.HttpUnavailableError as error:
+            cause = error.__cause__
+            # Keep-alive probes report a dead connection as a TimeoutError with an error number.
+            late = isinstance(cause, TimeoutError) and cause.errno is None
+            if method != "GET" or not kept or late:
+                raise
+        return await self._send(method, path, body=body, headers=headers, timeout_s=timeout_s)
+
+    async def _send(
+        self, method: str, path: str, *, body: bytes, headers: Sequence[tuple[str, str]], timeout_s: float
+    ) -> Response:
         try:
             async with asyncio.timeout(timeout_s):
                 codec, reader, writer = await self._connection()
--- a/src/currantlead/sessions/operations.py
+++ b/src/currantlead/sessions/operations.py
@@ -42,7 +42,7 @@
         wrote: Whether a write may have run in the transaction.
     """
 
-    link: link.Link
+    link: link.Conversation
     pool: pool.Pool
     leads: bool
     wrote: bool = False
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -275,3 +275,15 @@
     served.abort_transaction()
     assert (await caller.query("WRITE a2 y"))[0].startswith("ERR ABORTED")
     assert bed.service.log == []
+
+
+async def test_start_of_a_transaction_does_not_hide_stuck_commits(bed):
+    """A primary without replicas still answers BEGIN; unanswered commits must be noticed all the same."""
+    caller, other = await bed.caller(), await bed.caller()
+    for name in ("i-2", "i-3"):
+        bed.service.instances[name].held_term = 9
+    assert (await caller.query("WRITE a1 x"))[0].startswith("ERR INDOUBT")
+    assert bed.daemon.fleet.get("i-1").stuck_since is not None
+    await other.query("BEGIN")
+    await other.query("READ a1")
+    assert bed.daemon.fleet.get("i-1").stuck_since is not None
--- a/tests/test_store_follow.py
+++ b/tests/test_store_follow.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from currantlead import errors
 from currantlead.platform import objects
 from currantlead.sessions import clock, settings, store
 from tests.standins import object_store
@@ -140,3 +141,19 @@
     assert (await client.read("duties", "svc")).value == {"holder": "c"}
     assert await client.read("duties", "none") is None
     await served.stop()
+
+
+async def test_read_on_a_dead_kept_connection_is_sent_again():
+    """A promotion began 0.5 s late because the connection of the last call had died (cantabrico trouble-3)."""
+    served = object_store.ObjectStore()
+    await served.start()
+    served.put("duties", "svc", {"holder": "a"})
+    client = store.Store(settings.Address("127.0.0.1", served.port))
+    await client.read("duties", "svc")
+    left = [1]
+    served.fault = lambda method, path: "reset" if left and left.pop() else None
+    assert (await client.read("duties", "svc")).value == {"holder": "a"}
+    served.fault = lambda method, path: "reset"
+    with pytest.raises(errors.PlatformUnavailableError):
+        await client.read("duties", "svc")
+    await served.stop()
