--- a/tests/process/test_session_soak.py
+++ b/tests/process/test_session_soak.py
@@ -15,7 +15,7 @@
 
 
 @pytest.mark.processes
-@pytest.mark.xdist_group("processes-4")
+@pytest.mark.xdist_group("processes-3")
 @pytest.mark.parametrize(("seed", "cause"), SEEDS)
 def test_promises_hold_through_random_faults(seed, cause):
     """No acknowledged write is lost or doubled, no session reads an older state than its own, no refusal is false."""
