--- a/src/currantlead/platform/objects.py
+++ b/src/currantlead/platform/objects.py
@@ -3,7 +3,7 @@
 import dataclasses
 import json
 import urllib.parse
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from typing import Any
 
 from currantlead import errors, logs
@@ -89,11 +89,6 @@
     return Call("PUT", path, json.dumps({"meta": meta, "spec": value}).encode())
 
 
-def remove_call(kind: str, name: str, revision: int) -> Call:
-    """Return the call that removes an object while it has a revision."""
-    return Call("DELETE", f"{_OBJECTS}{kind}/{urllib.parse.quote(name, safe='')}?revision={revision}")
-
-
 def promote_call(service: str, instance_id: str, holder: str, generation: int) -> Call:
     """Return the call that makes an instance the primary of a service."""
     body = json.dumps({"service": service, "id": instance_id}).encode()
@@ -271,6 +266,3 @@
 def decode_name(stored: Stored) -> str:
     """Return the name of an object whose value does not matter."""
     return stored.name
-
-
-Decoder = Callable[[Stored], Any]
--- a/src/currantlead/sessions/session.py
+++ b/src/currantlead/sessions/session.py
@@ -79,11 +79,6 @@
             statements.Kind.DEALLOCATE: self._deallocate,
         }
 
-    @property
-    def in_transaction(self) -> bool:
-        """Tell whether the caller has begun a transaction and not ended it."""
-        return self._transaction is not None
-
     async def serve(self) -> None:
         """Answer the caller's messages until the session ends."""
         try:
