Open two connections of a pool at a time, and only for statements that will still wait

Openings occupy the instance's slots, so statements got none. Ruled out: too few connections (28 in place of 20 changed nothing), leaked connections (the pool emptied by itself), slow replicas.

--- a/src/currantlead/sessions/pool.py
+++ b/src/currantlead/sessions/pool.py
@@ -10,6 +10,13 @@
 
 AFFINITY_S = 0.1
 """A free connection goes to a waiter of its own organisation only until the first in line has waited this long."""
+MOST_OPENINGS = 2
+"""Connections that a pool opens at a time. An opening occupies a slot of the instance; many at once take so long that
+those they were opened for have given up, and the slots are lost to statements."""
+OPENING_S = 0.02
+"""Expected time of an opening before one was measured."""
+OPENING_WEIGHT = 0.2
+"""Weight of the newest opening in the expected time."""
 FULL_PAUSE_S = 0.3
 """After an instance reported that it is full, no further connection is tried for this long."""
 
@@ -25,6 +32,7 @@
     number: int
     organisation: str
     since: float
+    deadline: float
     future: "asyncio.Future[link.Link]"
     opening: bool = False
 
@@ -55,6 +63,7 @@
         self._waiters: list[_Waiter] = []
         self._numbers = itertools.count()
         self._openings: set[asyncio.Task[None]] = set()
+        self._opening_s = OPENING_S
         self._full_until = 0.0
         self._closed = False
 
@@ -87,6 +96,10 @@
         """Tell whether a connection of the organisation is free."""
         return any(item.organisation == organisation for item in self._idle)
 
+    def idle_organisation(self) -> str:
+        """Return the organisation of the connection that became free last, or an empty name if none is free."""
+        return self._idle[-1].organisation if self._idle else ""
+
     async def acquire(
         self, organisation: str, values: Mapping[str, str], *, priority: int, timeout_s: float
     ) -> link.Link:
@@ -108,7 +121,8 @@
         if found is not None:
             return found
         future: asyncio.Future[link.Link] = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(priority, next(self._numbers), organisation, clock.now(), future)
+        now = clock.now()
+        waiter = _Waiter(priority, next(self._numbers), organisation, now, now + timeout_s, future)
         self._waiters.append(waiter)
         self._pump()
         try:
@@ -135,9 +149,11 @@
             self._idle.append(lent)
         elif waiter.organisation == lent.organisation:
             self._hand_over(waiter, lent)
-        else:
+        elif len(self._openings) < MOST_OPENINGS:
             lent.close()
             self._open(waiter)
+        else:
+            self._idle.append(lent)
 
     def discard(self, lent: link.Link) -> None:
         """Drop a connection and let a waiter open another."""
@@ -173,7 +189,9 @@
     def _pump(self) -> None:
         """Open connections for those who wait, as far as the limit allows."""
         for waiter in sorted(self._waiters, key=lambda waiter: (waiter.priority, waiter.number)):
-            if waiter.opening or waiter.future.done():
+            if len(self._openings) >= MOST_OPENINGS:
+                return
+            if not self._may_open(waiter):
                 continue
             if self._size < self.limit and not (self.full and self._size):
                 self._size += 1
@@ -184,13 +202,28 @@
                 return
             self._open(waiter)
 
+    def _may_open(self, waiter: _Waiter) -> bool:
+        """Tell whether a connection should be opened for a waiter: it must still be there when that is done.
+
+        One opening is always under way, or a slow one would keep others from being tried.
+        """
+        if waiter.opening or waiter.future.done():
+            return False
+        return not self._openings or waiter.deadline - clock.now() > self._opening_s
+
     def _open(self, waiter: _Waiter) -> None:
         waiter.opening = True
         task = asyncio.get_running_loop().create_task(self._connect(waiter))
         self._openings.add(task)
-        task.add_done_callback(self._openings.discard)
+        task.add_done_callback(self._opened)
+
+    def _opened(self, task: "asyncio.Task[None]") -> None:
+        self._openings.discard(task)
+        if not self._closed:
+            self._pump()
 
     async def _connect(self, waiter: _Waiter) -> None:
+        began_at = clock.now()
         try:
             opened = await self._opener(self.instance, waiter.organisation)
         except errors.LinkRefusedError as error:
@@ -206,6 +239,7 @@
         except BaseException:
             self._size -= 1
             raise
+        self._opening_s += OPENING_WEIGHT * (clock.now() - began_at - self._opening_s)
         if waiter in self._waiters and not waiter.future.done():
             self._hand_over(waiter, opened)
         else:
@@ -222,11 +256,13 @@
             waiter.future.exception()
 
     def _next_waiter(self, organisation: str) -> _Waiter | None:
-        waiting = [waiter for waiter in self._waiters if not waiter.future.done()]
-        if not waiting:
-            return None
-        first = min(waiting, key=lambda waiter: (waiter.opening, waiter.priority, waiter.number))
-        same = [waiter for waiter in waiting if waiter.organisation == organisation]
-        if same and (first.opening or clock.now() - first.since < AFFINITY_S):
-            return min(same, key=lambda waiter: (waiter.priority, waiter.number))
-        return None if first.opening else first
+        """Return who gets a connection of an organisation, or has it replaced by one of its own; None if nobody."""
+        waiting = sorted(
+            (waiter for waiter in self._waiters if not waiter.future.done()),
+            key=lambda waiter: (waiter.priority, waiter.number),
+        )
+        same = next((waiter for waiter in waiting if waiter.organisation == organisation), None)
+        first = next((waiter for waiter in waiting if self._may_open(waiter)), None)
+        if same is not None and (first is None or clock.now() - first.since < AFFINITY_S):
+            return same
+        return first
--- a/tests/test_session_pool.py
+++ b/tests/test_session_pool.py
@@ -136,6 +136,56 @@
     assert len(opener.opened) == 1
 
 
+async def test_few_connections_are_opened_at_a_time():
+    """Openings occupy the instance's slots; with many at once none was ready in time (no statement ran for 7 s)."""
+    found, opener = make(limit=14)
+    opener.gate.clear()
+    waiting = [asyncio.create_task(acquire(found, f"org-{number}", timeout_s=1.0)) for number in range(20)]
+    await asyncio.sleep(0.01)
+    assert found.busy == pool.MOST_OPENINGS
+    opener.gate.set()
+    done, pending = await asyncio.wait(waiting, timeout=0.2)
+    assert len(done) == 14 and len(pending) == 6
+    for item in pending:
+        item.cancel()
+    await asyncio.gather(*pending, return_exceptions=True)
+
+
+async def test_saturated_pool_serves_all_organisations_in_turn():
+    """Connections are exchanged between organisations without an opening that nobody uses."""
+    found, opener = make(limit=2)
+
+    async def slow_opening(instance, organisation):
+        await asyncio.sleep(0.01)
+        return await opener(instance, organisation)
+
+    found._opener = slow_opening
+    served = []
+
+    async def caller(organisation):
+        for _ in range(40):
+            try:
+                lent = await acquire(found, organisation, timeout_s=0.1)
+            except errors.PoolUnavailableError:
+                continue
+            await asyncio.sleep(0.002)
+            served.append(organisation)
+            found.release(lent)
+
+    async with asyncio.timeout(10):
+        await asyncio.gather(*(caller(f"org-{number}") for number in range(8)))
+    assert len(set(served)) == 8
+    assert len(opener.opened) <= len(served) * 1.2, "openings that served no statement"
+
+
+async def test_opening_is_tried_although_the_last_one_was_slow():
+    """An expected time beyond every wait must not keep the pool empty for ever."""
+    found, opener = make()
+    found._opening_s = 30.0
+    await acquire(found)
+    assert opener.alive == 1
+
+
 async def test_refused_opening_tells_its_waiter_at_once():
     """A full instance is left for another one without a wait."""
     found, opener = make()
