Run orders at the holders, and share copies of the store, samples and near tokens in a failure domain

- A statement goes to a holder as one order (values, opening, proof, text) and comes back as one report; the holder's connection is in use only while the instance works.
A holder that does not answer is passed over until it answers a ping, and the next VM holds in its place.
- One VM of a failure domain follows the store; the others ask it every 0.5 s, are told of changes, and add its age to their own.
Up to three VMs are asked before a VM follows the store itself.
- The same questions carry samples of positions, and which replicas lacked one.
Relays ask the primary's holders for a sample every 0.5 s.
- Owners of a rate stand in each failure domain, and are asked first.
- Large organisations use all holders alike, and holders use 0.85 of an instance's connections: nearly all refusals had come from one of two.

--- a/src/currantlead/errors.py
+++ b/src/currantlead/errors.py
@@ -1,5 +1,7 @@
 """Exceptions of currantlead."""
 
+from typing import Any
+
 
 class CurrantleadError(Exception):
     """Base class of the exceptions that this package raises."""
@@ -77,6 +79,18 @@
         self.timed_out = timed_out
 
 
+class HolderLostError(LinkLostError):
+    """Raised when the VM that holds a connection is gone or silent; it says nothing about the instance."""
+
+
+class OrderRefusedError(CurrantleadError):
+    """Raised when a statement must not be sent any more; ``failure`` says why, and nothing was sent."""
+
+    def __init__(self, failure: Any):
+        super().__init__(str(failure))
+        self.failure = failure
+
+
 class LinkRefusedError(CurrantleadError):
     """Raised when an instance refuses a new connection, so nothing ran; ``overloaded`` tells that it is full."""
 
--- a/src/currantlead/sessions/allowance.py
+++ b/src/currantlead/sessions/allowance.py
@@ -1,4 +1,4 @@
-"""Rates of organisations over all VMs: some VMs own equal slices of a rate, and lend what they have.
+"""Rates of organisations over all VMs: some VMs of each domain own equal slices of a rate, and lend what they have.
 
 A token exists once: it accrues in one slice, and a loan is taken from the lender before it is sent. Lost datagrams lose
 tokens; nothing creates them. Without peers each VM still has its slice.
@@ -17,8 +17,9 @@
 TOLERANCE_SHARE = 0.3
 """Part of the tolerance in counting that is added to the burst: tokens lie on several VMs, and those on a VM without
 callers are not at hand where they are needed. The rest covers restarts and changes of the slices."""
-OWNERS = 12
-"""Most owners of a low rate: slices below a token a second leave every operation waiting for loans of many VMs."""
+OWNERS_NEAR = 2
+"""Most owners of a low rate in each failure domain: slices far below a token a second leave every operation waiting for
+loans of many VMs, and with one owner its death would cost the domain's whole part."""
 OWNED_RATE = 4.0
 """Tokens a second that one slice of a higher rate has at least."""
 LOAN_LIFETIME_S = 1.0
@@ -75,14 +76,19 @@
         self.borrowed_until = now + LOAN_LIFETIME_S
 
 
-def owners_of(organisation: model.Organisation, members: Sequence[str]) -> list[str]:
-    """Return the VMs that own slices of an organisation's rate: all, where there are few."""
-    count = max(OWNERS, math.ceil(organisation.rate / OWNED_RATE))
+def owners_of(organisation: model.Organisation, members: Sequence[model.Member]) -> list[model.Member]:
+    """Return the VMs that own slices of a rate: some in each failure domain, or all where there are few."""
+    domains: dict[str, list[model.Member]] = {}
+    for member in members:
+        domains.setdefault(member.domain, []).append(member)
+    count = max(OWNERS_NEAR, math.ceil(organisation.rate / OWNED_RATE / max(1, len(domains))))
 
-    def weight(name: str) -> bytes:
-        return hashlib.blake2b(f"{organisation.name}/{name}".encode(), digest_size=8).digest()
+    def weight(member: model.Member) -> bytes:
+        return hashlib.blake2b(f"{organisation.name}/{member.name}".encode(), digest_size=8).digest()
 
-    return sorted(members, key=weight)[:count]
+    if len(members) <= count * len(domains):
+        return list(members)
+    return [member for near in domains.values() for member in sorted(near, key=weight)[:count]]
 
 
 class Allowances:
@@ -97,10 +103,12 @@
         self._vm = vm
         self._bounds = bounds
         self._slices: dict[str, Slice] = {}
-        self._owners: dict[str, list[str]] = {}
+        self._owners: dict[str, list[model.Member]] = {}
         self._members = 0
 
-    def configure(self, organisations: Mapping[str, model.Organisation], members: Sequence[str], now: float) -> None:
+    def configure(
+        self, organisations: Mapping[str, model.Organisation], members: Sequence[model.Member], now: float
+    ) -> None:
         """Take new rates or other VMs; tokens may be lost by it, never created."""
         if len(members) != self._members:
             self._members = len(members)
@@ -110,7 +118,7 @@
         self._owners = {name: owners_of(organisation, members) for name, organisation in organisations.items()}
         for name, organisation in organisations.items():
             owners = self._owners[name]
-            share = 1 / len(owners) if self._vm in owners else 0.0
+            share = 1 / len(owners) if any(owner.name == self._vm for owner in owners) else 0.0
             rate, burst = organisation.rate * share, self._burst(organisation) * share
             found = self._slices.get(name)
             if found is None:
@@ -133,9 +141,9 @@
             return {}
         return {"tokens": round(found.level, 2), "rate_here": round(found.rate, 2), "burst_here": round(found.burst, 1)}
 
-    def lenders(self, organisation: str) -> list[str]:
+    def lenders(self, organisation: str) -> list[model.Member]:
         """Return the other VMs that own slices of an organisation's rate."""
-        return [name for name in self._owners.get(organisation, ()) if name != self._vm]
+        return [owner for owner in self._owners.get(organisation, ()) if owner.name != self._vm]
 
     def take(self, organisation: str, now: float) -> bool:
         """Spend one token of an organisation; return whether there was one."""
--- a/src/currantlead/sessions/daemon.py
+++ b/src/currantlead/sessions/daemon.py
@@ -10,20 +10,24 @@
 from currantlead.platform import lines, objects
 from currantlead.sessions import (
     allowance,
-    borrowing,
     clock,
     confirmation,
     execution,
     fleet,
+    forwarding,
     freshness,
     gate,
     holders,
+    liveness,
     loans,
     measures,
     members,
+    mirror,
     model,
+    paths,
     pool,
     readiness,
+    sampling,
     session,
     settings,
     shares,
@@ -31,8 +35,9 @@
     succession,
 )
 
-CONFIGURATION_WAIT_S = 2.0
-"""Wait of a configuration watch: its answer confirms the keys well before the age limit of 3.8 s."""
+CONFIGURATION_WAIT_S = 1.5
+"""Wait of a configuration watch: its answer confirms the keys well before the age limit of 3.8 s, also at VMs that hear
+of it from a relay up to 0.6 s later."""
 STATE_WAIT_S = 20.0
 """Wait of the other watches; keep-alive probes end one that has fallen silent after 4 s."""
 HOUSEKEEPING_S = 0.25
@@ -65,13 +70,15 @@
         self.network = network.Network(
             checked.vm, checked.domain, host=checked.peers.host, port=checked.peers.port, advertise=str(checked.peers)
         )
-        self.holder = holders.Holder(self.fleet, self._own_pool_of)
-        self.network.handler(borrowing.LEND)(self.holder.lend)
-        self.network.handler(borrowing.EXCHANGE)(self.holder.exchange)
-        self.network.handler(borrowing.RETURN)(self.holder.take_back)
-        self.lender = loans.Lender(self.allowances, self.peers)
+        self.liveness = liveness.Liveness(self.network)
+        self.holder = holders.Holder(self.fleet, self._direct_path)
+        self.network.handler(holders.RUN)(self.holder.run)
+        self.network.handler(holders.CONTINUE)(self.holder.continue_)
+        self.network.handler(holders.END)(self.holder.end)
         self.measures = measures.Measures()
         self.store = store.Store(checked.store, self._count_store)
+        self.mirror = mirror.Mirror(self.store, self.network, self.liveness, self.peers)
+        self.lender = loans.Lender(self.allowances, checked.domain)
         self.shares = shares.Shares(lambda: self.configuration, self.peers)
         self.gate = gate.Gate(
             lambda: self.configuration, self.confirmation, self.allowances, self.lender, self.measures
@@ -79,18 +86,23 @@
         self.executor = execution.Executor(
             self.fleet,
             self.samples,
-            self._pool_of,
+            self._path_of,
             domain=checked.domain,
             region=checked.region_of.get(checked.domain, ""),
             measured=self.measures,
         )
+        self.sampler = sampling.Sampler(
+            self.fleet, self.samples, self._path_of, self._direct_path, self.network, lambda: not self.mirror.relayed
+        )
+        self.mirror.share(self.sampler)
         self.succession = (
             succession.Succession(self.fleet, self.store, checked.promotions, vm=checked.vm, members=self.peers.names)
             if checked.promotions is not None
             else None
         )
-        self._pools: dict[str, pool.Pool] = {}
-        self._borrowing: dict[str, borrowing.BorrowingPool] = {}
+        self._keep_copies()
+        self._direct: dict[str, paths.DirectPath] = {}
+        self._forwarding: dict[str, forwarding.ForwardingPath] = {}
         self.sessions: set[session.Session] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._instances_listed = False
@@ -121,9 +133,10 @@
         )
         self._servers.append(server)
         _log.bind(callers=str(callers), readiness=str(self.settings.readiness)).info("listening")
-        self._follow()
+        self._spawn(self.mirror.run())
         self._spawn(self._register())
         self.timers.subscribe("housekeeping", HOUSEKEEPING_S, self._housekeep)
+        self.timers.subscribe("samples", sampling.SAMPLE_S, self.sampler.refresh)
         if self.succession is not None:
             self.timers.subscribe("succession", succession.CHECK_S, self.succession.check)
         self.timers.subscribe("log lines", LOG_FLUSH_S, logs.flush)
@@ -147,8 +160,7 @@
 
     def _read_pools(self, name: str) -> dict[measures.Labels, float]:
         return {
-            (("instance", instance_id),): float(getattr(connections, name))
-            for instance_id, connections in self._pools.items()
+            (("instance", instance_id),): float(getattr(path.pool, name)) for instance_id, path in self._direct.items()
         }
 
     async def close(self) -> None:
@@ -159,9 +171,10 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for server in self._servers:
             server.close()
-        for connections in self._pools.values():
-            connections.close()
+        for path in self._direct.values():
+            path.pool.close()
         self.lender.close()
+        self.liveness.close()
         await self.network.stop()
 
     def is_ready(self) -> bool:
@@ -175,42 +188,30 @@
 
     # Shared state
 
-    def _follow(self) -> None:
-        self._spawn(
-            self.store.follow(
-                store.Follower(
-                    objects.CONFIGURATION,
-                    CONFIGURATION_WAIT_S,
-                    self._configurations_listed,
-                    lambda present, removed: self._configurations_listed(present),
-                    self.confirmation.confirm,
-                    probes=True,
-                )
+    def _keep_copies(self) -> None:
+        """Say what happens with the objects of each kind that are copied from the store."""
+        self.mirror.keep(
+            store.Follower(
+                objects.CONFIGURATION,
+                CONFIGURATION_WAIT_S,
+                self._configurations_listed,
+                lambda present, removed: self._configurations_listed(present),
+                self.confirmation.confirm,
+                probes=True,
             )
         )
-        self._spawn(
-            self.store.follow(
-                store.Follower(objects.INSTANCES, STATE_WAIT_S, self._list_instances, self._change_instances)
-            )
-        )
-        self._spawn(
-            self.store.follow(
-                store.Follower(objects.EVACUATIONS, STATE_WAIT_S, self._list_evacuations, self._change_evacuations)
-            )
+        self.mirror.keep(store.Follower(objects.INSTANCES, STATE_WAIT_S, self._list_instances, self._change_instances))
+        self.mirror.keep(
+            store.Follower(objects.EVACUATIONS, STATE_WAIT_S, self._list_evacuations, self._change_evacuations)
         )
-        self._spawn(
-            self.store.follow(store.Follower(objects.MEMBERS, STATE_WAIT_S, self._list_members, self._change_members))
-        )
-
+        self.mirror.keep(store.Follower(objects.MEMBERS, STATE_WAIT_S, self._list_members, self._change_members))
         if self.succession is not None:
-            self._spawn(
-                self.store.follow(
-                    store.Follower(
-                        objects.DUTIES,
-                        STATE_WAIT_S,
-                        self._see_duties,
-                        lambda present, removed: self._see_duties(present),
-                    )
+            self.mirror.keep(
+                store.Follower(
+                    objects.DUTIES,
+                    STATE_WAIT_S,
+                    self._see_duties,
+                    lambda present, removed: self._see_duties(present),
                 )
             )
 
@@ -261,46 +262,55 @@
 
     def _apply_limits(self) -> None:
         """Divide rates and connections by the number of VMs."""
-        self.allowances.configure(self.configuration.organisations, self.peers.names(), clock.now())
+        self.liveness.forget(set(self.peers.names()))
+        self.allowances.configure(self.configuration.organisations, self.peers.all(), clock.now())
         self.network.learn(
             [
                 control_model.Member(member.name, member.domain, 0, f"{member.host}:{member.port}")
                 for member in self.peers.others()
             ]
         )
-        for connections in self._pools.values():
-            connections.limit = self.shares.limit(connections.instance.service)
+        for path in self._direct.values():
+            path.pool.limit = self.shares.limit(path.instance.service)
 
     def _refused(self, instance_id: str, error: errors.LinkRefusedError) -> None:
         self.measures.count("connections", result="full" if error.overloaded else "refused")
         if not error.overloaded:
             self.fleet.suspect(instance_id, str(error))
 
-    def _pool_of(self, instance: model.Instance) -> "pool.Pool | borrowing.BorrowingPool":
-        """Return where this VM's sessions get connections to an instance."""
-        if not self.shares.shared(instance.service) or self.settings.vm in self.shares.holders(instance):
-            return self._own_pool_of(instance)
-        found = self._borrowing.get(instance.id)
+    def _path_of(self, instance: model.Instance) -> paths.Path:
+        """Return how statements of this VM's sessions reach an instance."""
+        if not self.shares.shared(instance.service):
+            return self._direct_path(instance)
+        found = self._forwarding.get(instance.id)
         if found is None:
-            found = self._borrowing[instance.id] = borrowing.BorrowingPool(instance, self.network, self.shares.holders)
+            found = self._forwarding[instance.id] = forwarding.ForwardingPath(
+                instance,
+                self.settings.vm,
+                self.network,
+                self.liveness,
+                lambda known: self.shares.holders(known, self.liveness.is_down),
+                self.shares.is_large,
+                self._direct_path,
+            )
         return found
 
-    def _own_pool_of(self, instance: model.Instance) -> pool.Pool:
-        """Return the connections that this VM holds to an instance."""
-        found = self._pools.get(instance.id)
+    def _direct_path(self, instance: model.Instance) -> paths.DirectPath:
+        """Return this VM's own connections to an instance."""
+        found = self._direct.get(instance.id)
         if found is None or found.instance.born_ms != instance.born_ms:
             if found is not None:
-                found.close()
-            found = self._pools[instance.id] = pool.Pool(
-                instance, self.shares.limit(instance.service), on_refused=self._refused
-            )
+                found.pool.close()
+            limit = self.shares.limit(instance.service)
+            connections = pool.Pool(instance, limit, on_refused=self._refused)
+            found = self._direct[instance.id] = paths.DirectPath(connections)
         return found
 
     def _close_unused_pools(self) -> None:
-        for instance_id in [name for name in self._pools if self.fleet.get(name) is None]:
-            self._pools.pop(instance_id).close()
-        for instance_id in [name for name in self._borrowing if self.fleet.get(name) is None]:
-            del self._borrowing[instance_id]
+        for instance_id in [name for name in self._direct if self.fleet.get(name) is None]:
+            self._direct.pop(instance_id).pool.close()
+        for instance_id in [name for name in self._forwarding if self.fleet.get(name) is None]:
+            del self._forwarding[instance_id]
 
     async def _register(self) -> None:
         """Enter this VM in the list of members, and keep trying until that is done."""
@@ -330,15 +340,15 @@
 
     # Time
 
-    def _housekeep(self) -> None:
-        """Forget instances and loans that are gone."""
-        self.holder.reclaim()
+    async def _housekeep(self) -> None:
+        """Forget instances that are gone, and transactions whose callers' VMs are."""
+        await self.holder.reclaim()
         if self.fleet.drop_lapsed():
             self._close_unused_pools()
 
     async def _leave(self, server: asyncio.Server) -> None:
         """Stop taking sessions, let open work end, and close sessions as they become idle."""
-        self._leaving = self.holder.leaving = True
+        self._leaving = self.holder.leaving = self.liveness.leaving = True
         began_at = clock.now()
         grace_s = self.settings.bounds.grace_s
         _log.bind(sessions=len(self.sessions)).info("leaving")
@@ -347,14 +357,14 @@
         for served in list(self.sessions):
             served.close_when_idle()
         aborted = False
-        while (self.sessions or self.holder.lent) and clock.now() - began_at < grace_s - EXIT_MARGIN_S:
+        while (self.sessions or self.holder.active) and clock.now() - began_at < grace_s - EXIT_MARGIN_S:
             await asyncio.sleep(0.02)
             if not aborted and clock.now() - began_at >= grace_s / 2:
                 aborted = True
                 for served in list(self.sessions):
                     served.abort_transaction()
-        for connections in self._pools.values():
-            connections.close()
+        for path in self._direct.values():
+            path.pool.close()
         _log.bind(sessions=len(self.sessions)).info("stopped")
 
     def _spawn(self, coroutine) -> None:
--- a/src/currantlead/sessions/fleet.py
+++ b/src/currantlead/sessions/fleet.py
@@ -14,8 +14,9 @@
 EVACUATION_MARGIN_S = 1.5
 SUSPECT_S = 1.0
 """An instance that was silent or refused connections is tried again after this time."""
-BEHIND_S = 0.25
-"""A replica that lacked a position is asked for it again after this time."""
+BEHIND_S = 0.8
+"""A replica that lacked a position is asked for it again after this time; VMs of a domain tell each other of it every
+0.5 s."""
 DEPOSED_S = 0.5
 """An instance that refused as no primary is taken for the primary again after this time, unless the store says more."""
 
@@ -233,11 +234,21 @@
             self._promoted_at[known.instance.service] = clock.now()
         self._signal()
 
-    def behind(self, instance_id: str, position: model.Position) -> None:
-        """Take note that an instance lacks a position."""
+    def behind(self, instance_id: str, position: model.Position, age_s: float = 0.0) -> None:
+        """Take note that an instance lacked a position some seconds ago."""
         known = self._known.get(instance_id)
-        if known is not None:
-            known.behind = position, clock.now() + BEHIND_S
+        until = clock.now() + BEHIND_S - age_s
+        if known is not None and (known.behind is None or until > known.behind[1]):
+            known.behind = position, until
+
+    def behind_marks(self) -> dict[str, tuple[model.Position, float]]:
+        """Return which instances lacked which position, and how many seconds ago that was."""
+        now = clock.now()
+        return {
+            name: (known.behind[0], BEHIND_S - (known.behind[1] - now))
+            for name, known in self._known.items()
+            if known.behind is not None and now < known.behind[1]
+        }
 
     async def wait_for_change(self, timeout_s: float) -> bool:
         """Wait until any knowledge changes; return whether it did in time."""
--- a/src/currantlead/sessions/freshness.py
+++ b/src/currantlead/sessions/freshness.py
@@ -37,6 +37,11 @@
         while samples[0].asked_at < asked_at - KEEP_S:
             samples.popleft()
 
+    def newest(self, service: str) -> Sample | None:
+        """Return the sample that was asked for last, or None."""
+        samples = self._samples.get(service)
+        return samples[-1] if samples else None
+
     def oldest_since(self, service: str, since: float) -> Sample | None:
         """Return the first sample asked for at ``since`` or later: it covers that time and asks least of a replica."""
         for sample in self._samples.get(service, ()):
--- a/src/currantlead/sessions/holders.py
+++ b/src/currantlead/sessions/holders.py
@@ -1,7 +1,7 @@
-"""Lend connections to other VMs, where an instance accepts fewer of them than there are VMs.
+"""Hold an instance's connections for other VMs, where an instance accepts fewer of them than there are VMs.
 
-A few VMs of the instance's failure domain hold its connections. A borrower sends the same messages as on a connection
-of its own, and decides everything; the holder only passes them on, and takes back what a borrower has left.
+A few VMs of the instance's failure domain hold its connections and carry out the orders of all VMs there. The VM of the
+caller decides everything; the holder only waits for a free connection, and ends transactions that nobody continues.
 """
 
 import dataclasses
@@ -11,146 +11,244 @@
 from typing import Any
 
 from currantlead import errors, logs
-from currantlead.sessions import clock, fleet, link, model, pool, statements
+from currantlead.sessions import clock, fleet, model, orders, paths, statements
 
+RUN, CONTINUE, END = "run", "continue", "end"
 HELD_CONNECTIONS = 10
 """Connections of one holder: enough that organisations, which are spread over the holders, find one of their own."""
-UNUSED_S = 1.0
-"""A loan whose borrower has sent nothing is taken back: its answer came too late."""
 IDLE_S = 6.0
-"""A loan that is idle for longer is taken back: idle transactions end after 3 s, so its borrower is gone."""
-_ENCODING = "utf-8"
-_ERRORS = "surrogateescape"
+"""A transaction that is idle for longer is rolled back: idle ones end after 3 s, so its caller's VM is gone."""
 
 _log = logs.part("holder")
 
 
-def holders_of(instance: model.Instance, members: Sequence[model.Member], count: int) -> list[str]:
-    """Return the VMs that hold an instance's connections; those of its own failure domain come first.
+def rank(instance: model.Instance, members: Sequence[model.Member], count: int) -> list[str]:
+    """Return all VMs in the order in which they hold an instance's connections, the first ``count`` that answer.
 
-    Args:
-        instance: The instance.
-        members: All VMs.
-        count: How many holders are wanted.
+    VMs of the instance's failure domain come first. If one more of them than is needed does not answer, the domain is
+    probably out of reach, so VMs of other domains follow; they may still reach the instance.
     """
-    near = [member for member in members if member.domain == instance.domain] or list(members)
-    return [member.name for member in sorted(near, key=lambda member: weight(instance.id, member.name))[:count]]
+    ordered = sorted(members, key=lambda member: weight(instance.id, member.name))
+    near = [member.name for member in ordered if member.domain == instance.domain]
+    far = [member.name for member in ordered if member.domain != instance.domain]
+    return near[: count + 1] + far + near[count + 1 :]
 
 
 def weight(*names: str) -> bytes:
     """Return the rendezvous weight of names."""
-    return hashlib.blake2b("/".join(names).encode(_ENCODING, _ERRORS), digest_size=8).digest()
+    return hashlib.blake2b("/".join(names).encode(errors="surrogateescape"), digest_size=8).digest()
 
 
 @dataclasses.dataclass(slots=True)
-class _Loan:
-    """Hold a lent connection.
+class _Held:
+    """Hold an open transaction of another VM's caller.
 
     Attributes:
-        borrower: VM that uses it.
-        link: The connection.
-        pool: The pool that it goes back to.
-        used_at: Clock reading of the last message, or of the loan itself.
-        used: Whether the borrower has sent anything.
-        busy: Whether an answer is under way.
+        vm: VM of the caller.
+        transaction: The transaction.
+        used_at: Clock reading of the last message.
+        busy: Whether a statement is under way.
     """
 
-    borrower: str
-    link: link.Link
-    pool: pool.Pool
+    vm: str
+    transaction: paths.Transaction
     used_at: float
-    used: bool = False
     busy: bool = False
 
 
 class Holder:
-    """Serve the loans of this VM's connections."""
+    """Carry out orders of other VMs on this VM's connections.
 
-    def __init__(self, known: fleet.Fleet, pool_of: Callable[[model.Instance], pool.Pool]):
+    Attributes:
+        leaving: Whether new orders are refused.
+    """
+
+    def __init__(self, known: fleet.Fleet, path_of: Callable[[model.Instance], paths.DirectPath]):
         self._fleet = known
-        self._pool_of = pool_of
-        self._loans: dict[int, _Loan] = {}
+        self._path_of = path_of
+        self._held: dict[int, _Held] = {}
         self._numbers = itertools.count(1)
+        self._running = 0
         self.leaving = False
 
     @property
-    def lent(self) -> int:
-        """Return the number of loans."""
-        return len(self._loans)
+    def active(self) -> int:
+        """Return the number of orders under way and of open transactions."""
+        return len(self._held) + self._running
 
-    async def lend(self, borrower: str, body: dict[str, Any]) -> dict[str, Any]:
-        """Lend a connection; the reply holds its number and state, or why there is none."""
+    async def run(self, vm: str, body: dict[str, Any]) -> dict[str, Any]:
+        """Carry out an order on a connection of the organisation; see ``decode_answer`` for the reply."""
         known = self._fleet.get(body["instance"])
         if self.leaving or known is None:
-            return {"refused": "the holder is leaving" if self.leaving else "unknown instance"}
-        connections = self._pool_of(known.instance)
+            return {"refused": "the holder is leaving" if self.leaving else "unknown instance", "leaving": self.leaving}
+        order = decode_order(body["order"])
+        self._running += 1
         try:
-            lent = await connections.acquire(
-                body["organisation"], body["values"], priority=body["priority"], timeout_s=body["timeout_s"]
+            report, transaction = await self._path_of(known.instance).run(
+                body["organisation"],
+                order,
+                priority=body["priority"],
+                wait_s=body["wait_s"],
+                check=lambda: None,
             )
-        except (errors.PoolUnavailableError, errors.LinkRefusedError) as error:
+        except errors.PoolUnavailableError as error:
             return {"refused": str(error)}
-        number = next(self._numbers)
-        self._loans[number] = _Loan(borrower, lent, connections, clock.now())
-        prepared = [[writes, shape, name] for (writes, shape), name in lent.prepared.items()]
-        return {"loan": number, "values": lent.values, "prepared": prepared}
-
-    async def exchange(self, borrower: str, body: dict[str, Any]) -> dict[str, Any]:
-        """Pass messages on, and return the answers."""
-        loan = self._loans.get(body["loan"])
-        if loan is None or loan.borrower != borrower:
-            return {"lost": "the loan was taken back", "sent": False, "timed_out": False}
-        loan.used = loan.busy = True
+        except errors.LinkRefusedError as error:
+            return {"refused": str(error), "unreachable": not error.overloaded}
+        except errors.LinkLostError as error:
+            return _encode_lost(error)
+        finally:
+            self._running -= 1
+        number = None
+        if transaction is not None:
+            number = next(self._numbers)
+            self._held[number] = _Held(vm, transaction, clock.now())
+        return {"report": encode_report(report), "transaction": number}
+
+    async def continue_(self, vm: str, body: dict[str, Any]) -> dict[str, Any]:
+        """Carry out an order inside an open transaction."""
+        number = body["transaction"]
+        held = self._held.get(number)
+        if held is None or held.vm != vm:
+            return _encode_lost(errors.LinkLostError("the transaction was ended by its holder", sent=False))
+        held.busy = True
         try:
-            replies = await loan.link.exchange(body["messages"], count=body["count"], timeout_s=body["timeout_s"])
+            report = await held.transaction.run(decode_order(body["order"]))
         except errors.LinkLostError as error:
-            self._loans.pop(body["loan"], None)
-            loan.pool.discard(loan.link)
-            return {"lost": str(error), "sent": error.sent, "timed_out": error.timed_out}
+            await self._drop(number)
+            return _encode_lost(error)
         finally:
-            loan.busy = False
-            loan.used_at = clock.now()
-        return {"replies": [encode_reply(reply) for reply in replies]}
-
-    def take_back(self, borrower: str, body: dict[str, Any]) -> dict[str, Any]:
-        """Take a connection back with what the borrower has set on it."""
-        loan = self._loans.pop(body["loan"], None)
-        if loan is not None and loan.borrower == borrower:
-            loan.link.values = body["values"]
-            loan.link.prepared = {(writes, shape): name for writes, shape, name in body["prepared"]}
-            if body["keep"]:
-                loan.pool.release(loan.link)
-            else:
-                loan.pool.discard(loan.link)
+            held.busy = False
+            held.used_at = clock.now()
+        if report.reply.state is statements.TransactionState.IDLE:
+            await self._drop(number)
+            number = None
+        return {"report": encode_report(report), "transaction": number}
+
+    async def end(self, vm: str, body: dict[str, Any]) -> dict[str, Any]:
+        """Roll back a transaction."""
+        held = self._held.get(body["transaction"])
+        if held is not None and held.vm == vm:
+            await self._drop(body["transaction"])
         return {}
 
-    def reclaim(self) -> None:
-        """Take back the loans that their borrowers have left."""
+    async def reclaim(self) -> None:
+        """End the transactions that their callers' VMs have left."""
         now = clock.now()
-        for number, loan in list(self._loans.items()):
-            if not loan.busy and now - loan.used_at > (IDLE_S if loan.used else UNUSED_S):
-                _log.bind(instance=loan.link.instance.id, borrower=loan.borrower).warning("loan taken back")
-                del self._loans[number]
-                loan.pool.discard(loan.link)
+        for number, held in list(self._held.items()):
+            if not held.busy and now - held.used_at > IDLE_S:
+                _log.bind(instance=held.transaction.instance.id, vm=held.vm).warning("abandoned transaction ended")
+                await self._drop(number)
+
+    async def _drop(self, number: int) -> None:
+        held = self._held.pop(number, None)
+        if held is not None:
+            await held.transaction.end()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """Hold a holder's answer.
+
+    Attributes:
+        report: What came of the order.
+        transaction: Number of the transaction that is open now, or None.
+    """
+
+    report: orders.Report
+    transaction: int | None
+
 
+def decode_answer(answer: dict[str, Any], asked_at: float) -> Answer:
+    """Return a holder's answer; its times count from the reading at which the caller's VM asked.
 
-def encode_reply(reply: statements.Reply) -> list[Any]:
-    """Return a reply as plain values; the time at which it was asked for is the borrower's."""
+    Raises:
+        errors.PoolUnavailableError: The holder had no connection.
+        errors.LinkRefusedError: The instance cannot be reached from the holder.
+        errors.LinkLostError: The connection to the instance was lost.
+    """
+    if "lost" in answer:
+        raise errors.LinkLostError(answer["lost"], sent=answer["sent"], timed_out=answer["timed_out"])
+    if answer.get("unreachable"):
+        raise errors.LinkRefusedError(answer["refused"], overloaded=False)
+    if "refused" in answer:
+        raise errors.PoolUnavailableError(answer["refused"])
+    reply, opened = answer["report"]
+    report = orders.Report(
+        _decode_reply(reply, asked_at), _decode_reply(opened, asked_at) if opened is not None else None
+    )
+    return Answer(report, answer["transaction"])
+
+
+def _encode_lost(error: errors.LinkLostError) -> dict[str, Any]:
+    return {"lost": str(error), "sent": error.sent, "timed_out": error.timed_out}
+
+
+def encode_report(report: orders.Report) -> list[Any]:
+    """Return a report as plain values."""
+    return [_encode_reply(report.reply), _encode_reply(report.opened) if report.opened is not None else None]
+
+
+def encode_order(order: orders.Order) -> list[Any]:
+    """Return an order as plain values."""
+    return [
+        _to_bytes(order.request),
+        _to_bytes(order.text),
+        {_to_bytes(name): _to_bytes(value) for name, value in order.values.items()},
+        round(order.timeout_s, 3),
+        None if order.shape is None else (order.shape[0], _to_bytes(order.shape[1])),
+        order.opening.value,
+        _encode_position(order.after),
+        order.discards,
+    ]
+
+
+def decode_order(values: Sequence[Any]) -> orders.Order:
+    """Return the order of plain values."""
+    request, text, session_values, timeout_s, shape, opening, after, discards = values
+    return orders.Order(
+        request=_to_text(request),
+        text=_to_text(text),
+        values={_to_text(name): _to_text(value) for name, value in session_values.items()},
+        timeout_s=timeout_s,
+        shape=None if shape is None else (shape[0], _to_text(shape[1])),
+        opening=orders.Opening(opening),
+        after=_decode_position(after),
+        discards=discards,
+    )
+
+
+def _encode_reply(reply: statements.Reply) -> list[Any]:
     failure = reply.failure
-    result = [failure.code.value, failure.detail] if failure is not None else [None, reply.result.signature]
-    position = [reply.position.term, reply.position.number] if reply.position is not None else None
-    rows = [row.encode(_ENCODING, _ERRORS) for row in reply.rows]
-    return [rows, result[0], result[1].encode(_ENCODING, _ERRORS), reply.state.value, position]
+    code, detail = (failure.code.value, failure.detail) if failure is not None else (None, reply.result.signature)
+    rows = [_to_bytes(row) for row in reply.rows]
+    return [rows, code, _to_bytes(detail), reply.state.value, _encode_position(reply.position)]
 
 
-def decode_reply(values: Sequence[Any], asked_at: float) -> statements.Reply:
-    """Return the reply of plain values."""
-    rows, code, text, state, position = values
-    detail = text.decode(_ENCODING, _ERRORS)
+def _decode_reply(values: Sequence[Any], asked_at: float) -> statements.Reply:
+    rows, code, detail, state, position = values
+    text = _to_text(detail)
     return statements.Reply(
-        rows=tuple(row.decode(_ENCODING, _ERRORS) for row in rows),
-        result=statements.Done(detail) if code is None else statements.Failure(statements.Code(code), detail),
+        rows=tuple(_to_text(row) for row in rows),
+        result=statements.Done(text) if code is None else statements.Failure(statements.Code(code), text),
         state=statements.TransactionState(state),
-        position=None if position is None else model.Position(*position),
+        position=_decode_position(position),
         asked_at=asked_at,
     )
+
+
+def _to_bytes(text: str) -> bytes:
+    # Callers' texts may hold any bytes, which their strings carry as surrogates.
+    return text.encode(errors="surrogateescape")
+
+
+def _to_text(data: bytes) -> str:
+    return data.decode(errors="surrogateescape")
+
+
+def _encode_position(position: model.Position | None) -> list[int] | None:
+    return None if position is None else [position.term, position.number]
+
+
+def _decode_position(values: Sequence[int] | None) -> model.Position | None:
+    return None if values is None else model.Position(*values)
--- a/src/currantlead/sessions/members.py
+++ b/src/currantlead/sessions/members.py
@@ -6,10 +6,16 @@
 
 
 class Members:
-    """Keep the VMs that registered themselves in the store."""
+    """Keep the VMs that registered themselves in the store.
+
+    Attributes:
+        own: This VM.
+        version: Grows with each change.
+    """
 
     def __init__(self, own: model.Member):
         self.own = own
+        self.version = 0
         self._members: dict[str, model.Member] = {own.name: own}
 
     @property
@@ -40,8 +46,10 @@
         for name in removed:
             self._members.pop(name, None)
         self._members[self.own.name] = self.own
+        self.version += 1
 
     def replace(self, present: Iterable[model.Member]) -> None:
         """Take the whole list."""
         self._members = {member.name: member for member in present}
         self._members[self.own.name] = self.own
+        self.version += 1
--- a/src/currantlead/sessions/operations.py
+++ b/src/currantlead/sessions/operations.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections.abc import Callable, Mapping
 
-from currantlead.sessions import fleet, link, model, pool, statements
+from currantlead.sessions import fleet, model, paths, statements
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,17 +33,15 @@
 
 @dataclasses.dataclass(slots=True)
 class Lease:
-    """Hold a connection inside a transaction of a caller.
+    """Hold a caller's transaction at an instance.
 
     Attributes:
-        link: The connection.
-        pool: The pool that it goes back to.
+        transaction: The transaction.
         leads: Whether only an instance that leads answers its statements.
         wrote: Whether a write may have run in the transaction.
     """
 
-    link: link.Conversation
-    pool: pool.Pool
+    transaction: paths.Transaction
     leads: bool
     wrote: bool = False
 
@@ -57,12 +55,14 @@
         result: The instance's signature, or the failure.
         position: Position of the instance's log, or None.
         may_have_run: Whether the statement may have taken effect or been counted by an instance.
+        unanswered: Whether nothing came back and another attempt is harmless.
     """
 
     rows: tuple[str, ...]
     result: statements.Done | statements.Failure
     position: model.Position | None = None
     may_have_run: bool = True
+    unanswered: bool = False
 
     @classmethod
     def refused(cls, code: statements.Code, detail: str) -> "Outcome":
@@ -87,12 +87,12 @@
 
     Attributes:
         known: The instance.
-        pool: Its connections here.
+        path: How it is reached from this VM.
         after: Position that its log must have; None where the instance has to prove that it leads.
         sampled_at: Reading at which the position was asked for, or None without a position.
     """
 
     known: fleet.Known
-    pool: pool.Pool
+    path: paths.Path
     after: model.Position | None
     sampled_at: float | None = None
--- /dev/null
+++ b/src/currantlead/sessions/sampling.py
@@ -0,0 +1,142 @@
+"""Share samples of the primaries' positions and which replicas are behind, between VMs with little traffic each.
+
+Each VM that follows the store asks a holder of each primary's connections for its newest sample; the other VMs of the
+failure domain get the samples with their copies of the store. A holder without a new one opens and ends a transaction.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from currantlead import errors, logs
+from currantlead.peers import network
+from currantlead.sessions import clock, fleet, forwarding, freshness, model, orders, paths
+
+SAMPLE = "sample"
+SAMPLE_S = 0.5
+"""Interval of samples: routes accept data of 1.5 s and more, replicas are up to 0.4 s behind."""
+SAMPLE_TIMEOUT_S = 0.4
+"""Two round trips between regions (50 ms) and the statements that are waiting for the primary."""
+OWN_REQUEST = "-"
+ROLLBACK = "ROLLBACK"
+
+_log = logs.part("route")
+
+
+class Sampler:
+    """Keep a young sample of each service's primary on this VM.
+
+    Args:
+        known: The instances.
+        samples: This VM's samples.
+        path_of: Returns how an instance is reached.
+        direct: Returns this VM's own connections to an instance.
+        peers: Streams to the other VMs.
+        is_asking: Tells whether this VM asks for samples on behalf of its failure domain.
+    """
+
+    def __init__(
+        self,
+        known: fleet.Fleet,
+        samples: freshness.Freshness,
+        path_of: Callable[[model.Instance], paths.Path],
+        direct: Callable[[model.Instance], paths.DirectPath],
+        peers: network.Network,
+        is_asking: Callable[[], bool],
+    ):
+        self._fleet = known
+        self._samples = samples
+        self._path_of = path_of
+        self._direct = direct
+        self._peers = peers
+        self._is_asking = is_asking
+        self._checks: dict[str, asyncio.Task[None]] = {}
+        peers.handler(SAMPLE)(self._answer)
+
+    async def refresh(self) -> None:
+        """Get new samples of all services whose connections are shared; to be called regularly."""
+        if self._is_asking():
+            await asyncio.gather(*(self._refresh(service) for service in self._fleet.services()))
+
+    def encode(self, *, positions: bool) -> dict[str, Any]:
+        """Return for other VMs which instances lacked a position, and with ``positions`` the newest samples."""
+        now = clock.now()
+        behind = {
+            name: [position.term, position.number, age_s]
+            for name, (position, age_s) in self._fleet.behind_marks().items()
+        }
+        if not positions:
+            return {"behind": behind}
+        found = {service: self._samples.newest(service) for service in self._fleet.services()}
+        samples = {
+            service: [sample.position.term, sample.position.number, now - sample.asked_at]
+            for service, sample in found.items()
+            if sample is not None
+        }
+        return {"positions": samples, "behind": behind}
+
+    def take(self, encoded: dict[str, Any], asked_at: float) -> None:
+        """Take what another VM told; its ages count from the clock reading at which it was asked."""
+        for service, (term, number, age_s) in encoded.get("positions", {}).items():
+            self._samples.record(service, asked_at - age_s, model.Position(term, number))
+        for instance_id, (term, number, age_s) in encoded.get("behind", {}).items():
+            self._fleet.behind(instance_id, model.Position(term, number), age_s)
+
+    async def _refresh(self, service: str) -> None:
+        primary = self._fleet.primary(service)
+        if primary is None or self._is_young(service):
+            return
+        path = self._path_of(primary.instance)
+        if not isinstance(path, forwarding.ForwardingPath):
+            return
+        holder = path.first_holder()
+        if holder == self._peers.member.vm:
+            await self._check(primary.instance)
+            return
+        asked_at = clock.now()
+        try:
+            answer = await self._peers.request(
+                holder, SAMPLE, {"instance": primary.instance.id}, timeout_s=SAMPLE_TIMEOUT_S
+            )
+        except (errors.PeerUnreachableError, errors.PeerAnswerLostError) as error:
+            _log.bind(service=service, holder=holder).info("no sample: {}", error)
+            return
+        self.take({"positions": answer}, asked_at)
+
+    def _is_young(self, service: str) -> bool:
+        sample = self._samples.newest(service)
+        return sample is not None and clock.now() - sample.asked_at < SAMPLE_S * 0.8
+
+    async def _answer(self, vm: str, body: dict[str, Any]) -> dict[str, Any]:
+        known = self._fleet.get(body["instance"])
+        if known is None:
+            return {}
+        service = known.instance.service
+        if not self._is_young(service):
+            await self._check(known.instance)
+        found = self.encode(positions=True)["positions"]
+        return {name: sample for name, sample in found.items() if name == service}
+
+    async def _check(self, instance: model.Instance) -> None:
+        """Open and end a transaction at an instance; several askers share one."""
+        task = self._checks.get(instance.id)
+        if task is None:
+            task = self._checks[instance.id] = asyncio.get_running_loop().create_task(self._open(instance))
+            task.add_done_callback(lambda done: self._checks.pop(instance.id, None))
+        await task
+
+    async def _open(self, instance: model.Instance) -> None:
+        direct = self._direct(instance)
+        organisation = direct.pool.idle_organisation()
+        if not organisation:
+            # Statements that hold all connections bring samples; without a connection there is no traffic.
+            return
+        order = orders.Order(OWN_REQUEST, ROLLBACK, {}, SAMPLE_TIMEOUT_S, opening=orders.Opening.LEADS)
+        try:
+            report, _ = await direct.run(organisation, order, priority=0, wait_s=SAMPLE_TIMEOUT_S, check=lambda: None)
+        except (errors.PoolUnavailableError, errors.LinkRefusedError, errors.LinkLostError) as error:
+            _log.bind(instance=instance.id).info("no sample: {}", error)
+            return
+        opened = report.opened
+        if opened is not None and opened.failure is None and opened.position is not None:
+            self._samples.record(instance.service, opened.asked_at, opened.position)
--- a/src/currantlead/sessions/session.py
+++ b/src/currantlead/sessions/session.py
@@ -281,14 +281,16 @@
         if refusal is not None:
             return operations.Outcome((), refusal)
         if transaction.lease is None:
-            lease, failure = await self._executor.begin(context, query.id, read_only=transaction.read_only)
-            if lease is None:
-                return operations.Outcome((), failure or statements.Failure(statements.Code.BUSY), may_have_run=False)
-            transaction.lease = lease
+            outcome, transaction.lease = await self._executor.run_first(
+                context, query.id, query.statement, read_only=transaction.read_only
+            )
+            return outcome
         try:
             return await self._executor.run_inside(context, transaction.lease, query.id, query.statement)
         except errors.LinkLostError as error:
-            _log.bind(request=query.id, instance=transaction.lease.link.instance.id).info("transaction lost: {}", error)
+            _log.bind(request=query.id, instance=transaction.lease.transaction.instance.id).info(
+                "transaction lost: {}", error
+            )
             commits = query.statement.kind is statements.Kind.COMMIT
             if commits and error.sent and transaction.lease.wrote:
                 return operations.Outcome((), statements.Failure(statements.Code.IN_DOUBT, "commit unanswered"))
@@ -341,12 +343,12 @@
             self._transaction.failed = True
             lease, self._transaction.lease = self._transaction.lease, None
             if lease is not None:
-                await self._executor.roll_back(lease)
+                await lease.transaction.end()
 
     async def _end_transaction(self) -> None:
         transaction, self._transaction = self._transaction, None
         if transaction is not None and transaction.lease is not None:
-            await self._executor.roll_back(transaction.lease)
+            await transaction.lease.transaction.end()
 
     def _log_outcome(
         self,
--- a/src/currantlead/sessions/store.py
+++ b/src/currantlead/sessions/store.py
@@ -18,9 +18,9 @@
 _log = logs.part("store")
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Follower:
-    """Say what to do with the objects of a kind.
+    """Say what to do with the objects of a kind, and how far it has been followed.
 
     Attributes:
         kind: The kind, as the adapter names it.
@@ -29,6 +29,7 @@
         on_changed: Takes the objects that changed and the names of those that were removed.
         on_confirmed: Takes a clock reading up to which the known state was the newest.
         probes: Whether it asks again and again during an outage; the others wait until it has got through.
+        revision: Revision to watch from, or None before the list was read.
     """
 
     kind: str
@@ -37,6 +38,7 @@
     on_changed: Callable[[tuple[objects.Stored, ...], tuple[str, ...]], None]
     on_confirmed: Callable[[float], None] = lambda at: None
     probes: bool = False
+    revision: int | None = None
 
 
 class Store:
@@ -112,25 +114,28 @@
             raise errors.PlatformUnavailableError(f"{call.method} {call.path}: status {response.status}")
         return response
 
+    def resume(self) -> None:
+        """Let all followers ask again, whatever an earlier outage had shown."""
+        self._available.set()
+
     async def follow(self, follower: Follower) -> None:
-        """Keep a follower's state the newest, until cancelled.
+        """Keep a follower's state the newest from its revision on, until cancelled.
 
         The list is read again after each loss of the watch's history, and after each outage, in which entries may
         have lapsed and come back.
         """
         client = http.HttpClient(self._address)
         pause_s, connected = RETRY_FIRST_S, True
-        revision: int | None = None
         confirmed_at = clock.now()
         while True:
             try:
-                if revision is None:
-                    revision, confirmed_at = await self._list(client, follower)
-                    _log.bind(kind=follower.kind, revision=revision).info("listed")
+                if follower.revision is None:
+                    follower.revision, confirmed_at = await self._list(client, follower)
+                    _log.bind(kind=follower.kind, revision=follower.revision).info("listed")
                 else:
                     # A change ends a wait early and confirms only its start; the next wait makes up for that.
                     wait_s = max(WAIT_LEAST_S, confirmed_at + follower.wait_s - clock.now())
-                    revision, confirmed_at = await self._watch(client, follower, revision, min(wait_s, follower.wait_s))
+                    confirmed_at = await self._watch(client, follower, min(wait_s, follower.wait_s))
                 follower.on_confirmed(confirmed_at)
                 pause_s, connected = RETRY_FIRST_S, True
                 if follower.probes:
@@ -138,7 +143,7 @@
             except (errors.HttpUnavailableError, errors.PlatformUnavailableError, errors.MalformedObjectError) as error:
                 if connected:
                     _log.bind(kind=follower.kind).warning("store lost: {}", error)
-                connected, revision = False, None
+                connected, follower.revision = False, None
                 if follower.probes:
                     self._available.clear()
                 await asyncio.sleep(pause_s)
@@ -165,25 +170,25 @@
         follower.on_listed(tuple(found))
         return revision, asked_at
 
-    async def _watch(
-        self, client: http.HttpClient, follower: Follower, revision: int, wait_s: float
-    ) -> tuple[int | None, float]:
-        """Wait for changes; return the revision to go on from, and up to when nothing else had changed.
+    async def _watch(self, client: http.HttpClient, follower: Follower, wait_s: float) -> float:
+        """Wait for changes; return up to when nothing else had changed.
 
-        The revision is None if the store no longer has the history.
+        The follower has no revision afterwards if the store no longer has the history.
         """
         asked_at = clock.now()
-        call = objects.watch_call(follower.kind, revision, wait_s)
+        call = objects.watch_call(follower.kind, follower.revision, wait_s)
         response = await self.call(call, client, wait_s + CALL_TIMEOUT_S)
         if response.status == objects.HISTORY_GONE:
-            _log.bind(kind=follower.kind, revision=revision).info("history is gone, listing again")
-            return None, float("-inf")
+            _log.bind(kind=follower.kind, revision=follower.revision).info("history is gone, listing again")
+            follower.revision = None
+            return float("-inf")
         if response.status != objects.OK:
             raise errors.PlatformUnavailableError(f"watching {follower.kind}: status {response.status}")
         page = objects.decode_page(response.body)
+        follower.revision = page.revision
         if page.present or page.removed:
             follower.on_changed(page.present, page.removed)
-            return page.revision, asked_at
+            return asked_at
         # An answer without events was made no earlier than the end of the wait that was asked for.
         waited = clock.now() - asked_at >= wait_s
-        return page.revision, asked_at + wait_s if waited else asked_at
+        return asked_at + wait_s if waited else asked_at
