Ask the near owners again while an operation waits for far ones

A question that came within 12 ms of the one before was not sent, and the next went to other failure domains only (tests/test_loans.py failed on it).

--- a/src/currantlead/sessions/loans.py
+++ b/src/currantlead/sessions/loans.py
@@ -78,7 +78,9 @@
                 _log.bind(organisation=organisation, waited_s=WAIT_S, **decided_on).info("over the rate")
                 return False
             far = now - began_at >= NEAR_WAIT_S or not self._lenders(organisation, far=False)
-            self._ask(organisation, now, far=far)
+            self._ask(organisation, now, far=False)
+            if far:
+                self._ask(organisation, now, far=True)
             pause_s = ASK_INTERVAL_S if far else NEAR_WAIT_S
             await self._wait(organisation, min(pause_s, began_at + WAIT_S - now))
 
