Import no data classes of the older daemon when the session daemon starts

Its start imported the HTTP interface's messages, interfaces and control models through the peers' network: 42 of 324 ms of processor time, all on a busy machine. Member has a module of its own now.

--- a/src/currantlead/control/model.py
+++ b/src/currantlead/control/model.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 
 from currantlead import messages
+from currantlead.peers import identity
 
 
 class ServiceState(enum.Enum):
@@ -170,21 +171,7 @@
         return bool(later) and position.index > min(later)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Member:
-    """Identify one start of the daemon on a VM.
-
-    Attributes:
-        vm: Name of the VM.
-        domain: Its failure domain.
-        incarnation: Random number of this start of the process.
-        address: ``HOST:PORT`` of its peer listener.
-    """
-
-    vm: str
-    domain: str
-    incarnation: int
-    address: str
+Member = identity.Member
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/currantlead/peers/network.py
+++ b/src/currantlead/peers/network.py
@@ -4,11 +4,14 @@
 import inspect
 import secrets
 from collections.abc import Callable, Iterable, Sequence
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-from currantlead import errors, interfaces, logs
-from currantlead.control import model
-from currantlead.peers import frames, stream
+from currantlead import errors, logs
+from currantlead.peers import frames, identity, stream
+
+if TYPE_CHECKING:
+    # Only the annotations need it; its data classes would add a tenth to the start of the session daemon.
+    from currantlead import interfaces
 
 CONNECT_TIMEOUT_S = 2.0
 BACKOFF_FIRST_S = 0.05
@@ -72,11 +75,11 @@
         await asyncio.sleep(0)
 
     @property
-    def member(self) -> model.Member:
+    def member(self) -> identity.Member:
         """Return this VM's own identity."""
-        return model.Member(self._vm, self._domain, self.incarnation, self._address)
+        return identity.Member(self._vm, self._domain, self.incarnation, self._address)
 
-    def learn(self, members: Sequence[model.Member]) -> None:
+    def learn(self, members: Sequence[identity.Member]) -> None:
         """Take note of the addresses of other VMs."""
         for member in members:
             if member.vm != self._vm and self._addresses.get(member.vm) != member.address:
@@ -87,10 +90,10 @@
         """Return the VMs with an open stream."""
         return [vm for vm, current in self._streams.items() if not current.closed]
 
-    def handler(self, kind: str) -> Callable[[interfaces.Handler], interfaces.Handler]:
+    def handler(self, kind: str) -> "Callable[[interfaces.Handler], interfaces.Handler]":
         """Return a decorator that registers the handler of a kind of frames."""
 
-        def add(handler: interfaces.Handler) -> interfaces.Handler:
+        def add(handler: "interfaces.Handler") -> "interfaces.Handler":
             if kind in self._handlers:
                 raise ValueError(f"frames of kind {kind!r} have a handler already")
             self._handlers[kind] = handler
--- a/src/currantlead/sessions/daemon.py
+++ b/src/currantlead/sessions/daemon.py
@@ -5,8 +5,7 @@
 import signal
 
 from currantlead import errors, logs, timers
-from currantlead.control import model as control_model
-from currantlead.peers import network
+from currantlead.peers import identity, network
 from currantlead.platform import lines, objects
 from currantlead.sessions import (
     allowance,
@@ -266,7 +265,7 @@
         self.allowances.configure(self.configuration.organisations, self.peers.all(), clock.now())
         self.network.learn(
             [
-                control_model.Member(member.name, member.domain, 0, f"{member.host}:{member.port}")
+                identity.Member(member.name, member.domain, 0, f"{member.host}:{member.port}")
                 for member in self.peers.others()
             ]
         )
