--- a/src/currantlead/platform/objects.py
+++ b/src/currantlead/platform/objects.py
@@ -89,6 +89,11 @@
     return Call("PUT", path, json.dumps({"meta": meta, "spec": value}).encode())
 
 
+def delete_call(kind: str, name: str, revision: int) -> Call:
+    """Return the call that removes an object while it has a revision."""
+    return Call("DELETE", f"{_OBJECTS}{kind}/{urllib.parse.quote(name, safe='')}?revision={revision}")
+
+
 def promote_call(service: str, instance_id: str, holder: str, generation: int) -> Call:
     """Return the call that makes an instance the primary of a service."""
     body = json.dumps({"service": service, "id": instance_id}).encode()
--- a/src/currantlead/sessions/daemon.py
+++ b/src/currantlead/sessions/daemon.py
@@ -24,6 +24,7 @@
     mirror,
     model,
     paths,
+    patrol,
     pool,
     readiness,
     sampling,
@@ -47,6 +48,8 @@
 EXIT_MARGIN_S = 0.8
 """The process ends by itself this long before the platform would kill it."""
 START_RETRY_S = 0.3
+MISSING_S = 2.0
+"""Copies of the members may lack an entry for about a second after it was made."""
 ACCEPT_BACKLOG = 512
 
 _log = logs.part("daemon")
@@ -77,6 +80,7 @@
         self.measures = measures.Measures()
         self.store = store.Store(checked.store, self._count_store)
         self.mirror = mirror.Mirror(self.store, self.network, self.liveness, self.peers)
+        self.patrol = patrol.Patrol(self.store, self.peers, self.liveness, self.mirror)
         self.lender = loans.Lender(self.allowances, checked.domain)
         self.shares = shares.Shares(lambda: self.configuration, self.peers)
         self.gate = gate.Gate(
@@ -106,6 +110,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._instances_listed = False
         self._leaving = False
+        self._registered = False
         self._servers: list[asyncio.Server] = []
 
     @classmethod
@@ -135,6 +140,7 @@
         self._spawn(self.mirror.run())
         self._spawn(self._register())
         self.timers.subscribe("housekeeping", HOUSEKEEPING_S, self._housekeep)
+        self.timers.subscribe("patrol", patrol.PATROL_S, self.patrol.check)
         self.timers.subscribe("samples", sampling.SAMPLE_S, self.sampler.refresh)
         if self.succession is not None:
             self.timers.subscribe("succession", succession.CHECK_S, self.succession.check)
@@ -320,6 +326,7 @@
                     found = await self.store.read(objects.MEMBERS, self.settings.vm)
                     if found is not None and objects.decode_member(found) != self.peers.own:
                         await self.store.replace(objects.MEMBERS, self.settings.vm, value, found.revision)
+                self._registered = True
                 return
             except (errors.PlatformUnavailableError, errors.MalformedObjectError) as error:
                 _log.warning("not registered yet: {}", error)
@@ -342,9 +349,18 @@
     async def _housekeep(self) -> None:
         """Forget instances that are gone, and transactions whose callers' VMs are."""
         await self.holder.reclaim()
+        self._enter_again()
         if self.fleet.drop_lapsed():
             self._close_unused_pools()
 
+    def _enter_again(self) -> None:
+        """Enter this VM again if others took it for gone and removed its entry."""
+        missing_since = self.peers.missing_since
+        if self._registered and missing_since is not None and clock.now() - missing_since > MISSING_S:
+            _log.warning("this VM is missing among the members, entering it again")
+            self._registered = False
+            self._spawn(self._register())
+
     async def _leave(self, server: asyncio.Server) -> None:
         """Stop taking sessions, let open work end, and close sessions as they become idle."""
         self._leaving = self.holder.leaving = self.liveness.leaving = True
--- a/src/currantlead/sessions/liveness.py
+++ b/src/currantlead/sessions/liveness.py
@@ -5,6 +5,7 @@
 
 from currantlead import errors, logs
 from currantlead.peers import network
+from currantlead.sessions import clock
 
 PING = "ping"
 PING_INTERVAL_S = 0.4
@@ -26,16 +27,29 @@
         self.leaving = False
         self._peers = peers
         self._probes: dict[str, asyncio.Task[None]] = {}
+        self._down_since: dict[str, float] = {}
         peers.handler(PING)(self._answer)
 
     def is_down(self, vm: str) -> bool:
         """Tell whether a VM has not answered since it was reported."""
         return vm in self._probes
 
+    def down_for(self, vm: str) -> float:
+        """Return the seconds for which a VM has not answered, or 0."""
+        return clock.now() - self._down_since[vm] if vm in self._probes else 0.0
+
+    async def check(self, vm: str) -> None:
+        """Ask a VM once, and report it if it does not answer."""
+        try:
+            await self._peers.request(vm, PING, {}, timeout_s=PING_TIMEOUT_S)
+        except (errors.PeerUnreachableError, errors.PeerAnswerLostError) as error:
+            self.report(vm, str(error))
+
     def report(self, vm: str, reason: str) -> None:
         """Take note that a VM did not answer, and ask it until it does."""
         if vm not in self._probes:
             _log.bind(peer=vm, reason=reason).warning("VM does not answer")
+            self._down_since[vm] = clock.now()
             self._probes[vm] = asyncio.get_running_loop().create_task(self._probe(vm))
 
     def forget(self, present: set[str]) -> None:
--- a/src/currantlead/sessions/members.py
+++ b/src/currantlead/sessions/members.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from currantlead.sessions import model
+from currantlead.sessions import clock, model
 
 
 class Members:
@@ -11,11 +11,13 @@
     Attributes:
         own: This VM.
         version: Grows with each change.
+        missing_since: Clock reading since which this VM's own entry is missing, or None.
     """
 
     def __init__(self, own: model.Member):
         self.own = own
         self.version = 0
+        self.missing_since: float | None = clock.now()
         self._members: dict[str, model.Member] = {own.name: own}
 
     @property
@@ -43,13 +45,20 @@
         """Take changed and removed entries."""
         for member in present:
             self._members[member.name] = member
+            self._note_own(member.name, is_present=True)
         for name in removed:
             self._members.pop(name, None)
+            self._note_own(name, is_present=False)
         self._members[self.own.name] = self.own
         self.version += 1
 
     def replace(self, present: Iterable[model.Member]) -> None:
         """Take the whole list."""
         self._members = {member.name: member for member in present}
+        self._note_own(self.own.name, is_present=self.own.name in self._members)
         self._members[self.own.name] = self.own
         self.version += 1
+
+    def _note_own(self, name: str, *, is_present: bool) -> None:
+        if name == self.own.name:
+            self.missing_since = None if is_present else self.missing_since or clock.now()
--- a/src/currantlead/sessions/mirror.py
+++ b/src/currantlead/sessions/mirror.py
@@ -97,6 +97,15 @@
         """Tell whether the copies come from a relay."""
         return bool(self._relay)
 
+    def is_listening(self, vm: str) -> bool:
+        """Tell whether a VM has asked this one for its copies a moment ago."""
+        return clock.now() - self._listeners.get(vm, float("-inf")) <= LISTENER_S
+
+    def revision_of(self, kind: str, name: str) -> int | None:
+        """Return the revision of an object's last change as far as it is known here, or None."""
+        stored = (self._copies[kind].present or {}).get(name)
+        return stored.revision if stored is not None else None
+
     def share(self, sampler: sampling.Sampler) -> None:
         """Pass samples of the primaries' positions on together with the copies."""
         self._sampler = sampler
--- a/src/currantlead/sessions/store.py
+++ b/src/currantlead/sessions/store.py
@@ -105,6 +105,15 @@
             return None
         return objects.decode_object(response.body)
 
+    async def delete(self, kind: str, name: str, revision: int) -> bool:
+        """Remove an object while it has ``revision``; return whether it was removed.
+
+        Raises:
+            errors.PlatformUnavailableError: The store gave no usable answer; the call may have taken effect.
+        """
+        response = await self._ask(objects.delete_call(kind, name, revision))
+        return response.status not in (objects.CONFLICT, objects.MISSING)
+
     async def _ask(self, call: objects.Call) -> http.Response:
         try:
             response = await self.call(call)
