Find out dead holders by a ping, and let first sessions wait for the configuration

A holder that loses power or freezes kept each order for its whole time (up to 1.1 s), as nothing but the orders' own limits showed it. Streams that owe a reply and are silent for 0.2 s are pinged; without an answer in 0.3 s they are closed, so reads go elsewhere and later orders pass the VM over.

A session that came before a starting VM knew the configuration was refused; it now waits up to 1.5 s (callers give up after 2 s).

--- a/src/currantlead/peers/network.py
+++ b/src/currantlead/peers/network.py
@@ -90,6 +90,17 @@
         """Return the VMs with an open stream."""
         return [vm for vm, current in self._streams.items() if not current.closed]
 
+    def silent(self, quiet_s: float) -> list[str]:
+        """Return the VMs that owe replies and have sent nothing for a number of seconds."""
+        since = asyncio.get_running_loop().time() - quiet_s
+        return [vm for vm, current in self._streams.items() if current.waiting and current.heard_at < since]
+
+    def disconnect(self, vm: str, reason: str) -> None:
+        """Close the streams with a VM; requests that wait for replies on them fail at once."""
+        for open_stream in list(self._all):
+            if open_stream.vm == vm:
+                open_stream.close(reason)
+
     def handler(self, kind: str) -> "Callable[[interfaces.Handler], interfaces.Handler]":
         """Return a decorator that registers the handler of a kind of frames."""
 
--- a/src/currantlead/peers/stream.py
+++ b/src/currantlead/peers/stream.py
@@ -42,6 +42,7 @@
     Attributes:
         vm: Name of the peer, empty before its hello.
         incarnation: The peer's incarnation.
+        heard_at: Reading of the loop's clock when the last bytes came, or when the oldest unanswered request was sent.
         ready: Becomes done after the peer's hello, or fails when the stream closes before it.
     """
 
@@ -56,10 +57,16 @@
         self._numbers = 0
         self.vm = ""
         self.incarnation = 0
+        self.heard_at = self._loop.time()
         self.ready: asyncio.Future[None] = self._loop.create_future()
         # Nobody waits for an accepted stream; this marks its failure as seen.
         self.ready.add_done_callback(lambda done: done.cancelled() or done.exception())
 
+    @property
+    def waiting(self) -> bool:
+        """Tell whether requests wait for their replies."""
+        return bool(self._waiting)
+
     @property
     def closed(self) -> bool:
         """Tell whether no more frames can be sent."""
@@ -76,6 +83,7 @@
     def data_received(self, data: bytes) -> None:
         """Pass on the frames that are complete."""
         self._owner.bytes_received += len(data)
+        self.heard_at = self._loop.time()
         try:
             for kind, number, incarnation, body in self._decoder.feed(data):
                 if not self.vm:
@@ -147,6 +155,8 @@
         """
         self._numbers = number = self._numbers + 1
         self.send(kind, number, self._owner.incarnation, body)
+        if not self._waiting:
+            self.heard_at = self._loop.time()
         self._waiting[number] = waiting = self._loop.create_future()
         timer = self._loop.call_later(timeout_s, self._expire, number, kind)
         try:
--- a/src/currantlead/sessions/daemon.py
+++ b/src/currantlead/sessions/daemon.py
@@ -140,6 +140,7 @@
         self._spawn(self.mirror.run())
         self._spawn(self._register())
         self.timers.subscribe("housekeeping", HOUSEKEEPING_S, self._housekeep)
+        self.timers.subscribe("silent VMs", liveness.CHECK_S, self.liveness.check_silent)
         self.timers.subscribe("patrol", patrol.PATROL_S, self.patrol.check)
         self.timers.subscribe("samples", sampling.SAMPLE_S, self.sampler.refresh)
         if self.succession is not None:
@@ -230,12 +231,18 @@
                 self.configuration = objects.decode_configuration(stored)
                 _log.bind(version=self.configuration.version, revision=stored.revision).info("configuration in force")
                 self._apply_limits()
+        self._note_prepared()
 
     def _list_instances(self, present: tuple[objects.Stored, ...]) -> None:
         decoded = [objects.decode_instance(stored) for stored in present]
         self.fleet.replace(instance for instance in decoded if instance is not None)
         self._instances_listed = True
         self._close_unused_pools()
+        self._note_prepared()
+
+    def _note_prepared(self) -> None:
+        if self._instances_listed and self.configuration.revision:
+            self.gate.prepared()
 
     def _change_instances(self, present: tuple[objects.Stored, ...], removed: tuple[str, ...]) -> None:
         for stored in present:
--- a/src/currantlead/sessions/gate.py
+++ b/src/currantlead/sessions/gate.py
@@ -1,10 +1,15 @@
 """Who may open a session, and whether its statements may run now: keys, routes, confirmation and rates."""
 
+import asyncio
+import contextlib
 import dataclasses
 from collections.abc import Callable
 
 from currantlead.sessions import allowance, clock, confirmation, loans, measures, model, statements
 
+PREPARE_WAIT_S = 1.5
+"""Longest wait of a new session for a VM that has just started; callers give up after 2 s."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Grant:
@@ -37,6 +42,18 @@
         self._allowances = allowances
         self._lender = lender
         self._measures = measured
+        self._prepared = asyncio.Event()
+
+    def prepared(self) -> None:
+        """Take note that configuration and instances are known, so that sessions can be served."""
+        self._prepared.set()
+
+    async def wait_prepared(self) -> None:
+        """Wait a moment for configuration and instances, which a VM that has just started does not know yet."""
+        if not self._prepared.is_set():
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(PREPARE_WAIT_S):
+                    await self._prepared.wait()
 
     def open(self, start: statements.Start) -> Grant | statements.Failure:
         """Return what a caller may use, or why it may not."""
--- a/src/currantlead/sessions/liveness.py
+++ b/src/currantlead/sessions/liveness.py
@@ -12,6 +12,11 @@
 """A VM that did not answer is asked again at this interval, so that no statement has to find out that it is back."""
 PING_TIMEOUT_S = 0.3
 """Several round trips between regions (50 ms) and a slow start of the stream."""
+SILENT_S = 0.2
+"""A VM that owes replies and has sent nothing for this long is asked whether it lives: orders may take a second, and
+those sent to a dead VM should not."""
+CHECK_S = 0.1
+"""Interval at which silent VMs are looked for."""
 
 _log = logs.part("peers")
 
@@ -39,11 +44,17 @@
         return clock.now() - self._down_since[vm] if vm in self._probes else 0.0
 
     async def check(self, vm: str) -> None:
-        """Ask a VM once, and report it if it does not answer."""
+        """Ask a VM once; if it does not answer, report it and fail what waits for its replies."""
         try:
             await self._peers.request(vm, PING, {}, timeout_s=PING_TIMEOUT_S)
         except (errors.PeerUnreachableError, errors.PeerAnswerLostError) as error:
             self.report(vm, str(error))
+            self._peers.disconnect(vm, "it does not answer")
+
+    async def check_silent(self) -> None:
+        """Ask the VMs that owe replies and are silent; to be called regularly."""
+        silent = [vm for vm in self._peers.silent(SILENT_S) if vm not in self._probes]
+        await asyncio.gather(*(self.check(vm) for vm in silent))
 
     def report(self, vm: str, reason: str) -> None:
         """Take note that a VM did not answer, and ask it until it does."""
--- a/src/currantlead/sessions/mirror.py
+++ b/src/currantlead/sessions/mirror.py
@@ -186,8 +186,11 @@
             except (errors.PeerUnreachableError, errors.PeerAnswerLostError) as error:
                 self._liveness.report(name, str(error))
                 continue
-            if self._take(answer, asked_at):
-                return name
+            try:
+                if self._take(answer, asked_at):
+                    return name
+            except errors.MalformedObjectError as error:
+                _log.bind(relay=name).warning("relay's copy is refused: {}", error)
             self._stale_until[name] = clock.now() + STALE_RETRY_S
             _log.bind(relay=name).info("relay is behind")
         return ""
--- a/src/currantlead/sessions/session.py
+++ b/src/currantlead/sessions/session.py
@@ -114,6 +114,7 @@
                 self._fail(statements.Failure(statements.Code.MALFORMED, "START expected"))
                 await self._writer.drain()
             return False
+        await self._gate.wait_prepared()
         found = self._gate.open(message)
         if isinstance(found, statements.Failure):
             _log.bind(database=message.database, code=found.code.value).info("session refused: {}", found.detail)
--- a/tests/test_holders.py
+++ b/tests/test_holders.py
@@ -5,7 +5,7 @@
 import pytest
 
 from currantlead.peers import frames
-from currantlead.sessions import forwarding, holders, model, orders, statements
+from currantlead.sessions import clock, forwarding, holders, liveness, model, orders, statements
 from tests import session_bed
 
 MEMBERS = [model.Member(f"vm-{number}", "127.0.0.1", number, f"z{number % 3}") for number in range(12)]
@@ -197,3 +197,35 @@
     assert not borrower.fleet.get("i-1").stuck_since, "the holder's silence says nothing about the instance"
     monkeypatch.undo()
     assert bed.service.log == []
+
+
+async def test_orders_at_a_dead_holder_fail_before_their_time(pair, monkeypatch):
+    """A holder that has stopped without closing its streams is found out by a ping, not by each order's timeout."""
+    bed, holder, borrower = pair
+    caller = await bed.caller(at=borrower)
+    await caller.query("WRITE a1 x")
+
+    async def take_and_say_nothing(vm, body):
+        await asyncio.sleep(30)
+
+    monkeypatch.setitem(holder.network._handlers, holders.RUN, take_and_say_nothing)
+    monkeypatch.setitem(holder.network._handlers, liveness.PING, take_and_say_nothing)
+    began_at = clock.now()
+    assert (await caller.query("WRITE a2 y"))[0].startswith("ERR INDOUBT")
+    assert clock.now() - began_at < 0.75, "the statement's own limit is 0.8 s"
+    assert borrower.liveness.is_down(holder.settings.vm)
+    assert (await caller.query("WRITE a3 z"))[0].startswith("DONE i-1")
+
+
+async def test_slow_statement_at_a_living_holder_is_waited_for(pair, monkeypatch):
+    """A holder that answers pings keeps its time for the statement."""
+    bed, holder, borrower = pair
+    caller = await bed.caller(at=borrower)
+    run = holder.holder.run
+
+    async def run_late(vm, body):
+        await asyncio.sleep(0.7)
+        return await run(vm, body)
+
+    monkeypatch.setitem(holder.network._handlers, holders.RUN, run_late)
+    assert (await caller.query("WRITE a1 x"))[0].startswith("DONE i-1")
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -61,6 +61,22 @@
     assert [run.instance for run in bed.service.runs] == ["i-2"]
 
 
+async def test_session_that_comes_before_the_configuration_waits_for_it(bed):
+    """A VM that has just started serves its first callers instead of refusing them."""
+    configured = bed.store.objects["config"].pop("main")["spec"]
+    starting = asyncio.create_task(bed.add_daemon("vm-2", "z1"))
+    await asyncio.sleep(0.2)
+    vm = bed._running[-1][0]
+    caller = await bed.connect(vm)
+    opened = asyncio.create_task(caller.ask(f"START own-db {session_bed.KEY}"))
+    await asyncio.sleep(0.2)
+    assert not opened.done()
+    bed.store.put("config", "main", configured)
+    assert await opened == ["READY I -"]
+    await starting
+    assert (await caller.query("WRITE a1 x"))[0].startswith("DONE")
+
+
 async def test_values_follow_the_session_over_connections(bed):
     """A statement runs only where exactly the acknowledged values of its own session are set."""
     first, second = await bed.caller(), await bed.caller()
