Repeat a failed read once, and let no organisation take all connections while others wait

Grown deployments have instances that fail a part of their statements while healthy, and callers that rest inside transactions with a connection each.

--- a/src/currantlead/sessions/execution.py
+++ b/src/currantlead/sessions/execution.py
@@ -66,7 +66,9 @@
                 discards=guarded,
             )
 
-        outcome, _ = await self._attempt(context, request_id, order_for, writes=writes, may_commit=writes)
+        outcome, _ = await self._attempt(
+            context, request_id, order_for, writes=writes, may_commit=writes, repeatable=not writes
+        )
         return outcome
 
     async def run_first(
@@ -78,7 +80,14 @@
             opening = orders.Opening.LEADS if target.after is None else orders.Opening.READS
             return _order(context, request_id, statement, timeout_s=left_s, opening=opening, after=target.after)
 
-        outcome, lease = await self._attempt(context, request_id, order_for, writes=not read_only, may_commit=False)
+        outcome, lease = await self._attempt(
+            context,
+            request_id,
+            order_for,
+            writes=not read_only,
+            may_commit=False,
+            repeatable=statement.kind is not statements.Kind.COMMIT and not _writes(context, statement),
+        )
         if lease is not None:
             lease.wrote = _writes(context, statement)
         return outcome, lease
@@ -115,6 +124,7 @@
         *,
         writes: bool,
         may_commit: bool,
+        repeatable: bool,
     ) -> tuple[operations.Outcome, operations.Lease | None]:
         """Try instances until one serves, refuses for good, or the time to wait is over.
 
@@ -124,6 +134,7 @@
             order_for: Returns the order for a target, with the seconds that it may take.
             writes: Whether only the primary will do.
             may_commit: Whether a lost answer leaves open if something was committed.
+            repeatable: Whether a statement that failed at an instance may run once more.
         """
         began_at = clock.now()
         deadline = began_at + context.route.timeout_s
@@ -144,7 +155,11 @@
             order = order_for(target, max(LEAST_TIMEOUT_S, min(deadline - now, limit_s)))
             outcome, lease = await self._try(context, target, order, max(LEAST_TIMEOUT_S, hold_until - now), may_commit)
             self._report(context, request_id, target, outcome, took_s=clock.now() - now)
-            if not self._try_elsewhere(outcome, target):
+            failed = outcome.failure is not None and outcome.failure.code is statements.Code.FAILED
+            if failed and repeatable:
+                # Some instances fail a part of their statements; a second failure is the caller's answer.
+                repeatable = False
+            elif not self._try_elsewhere(outcome, target):
                 return outcome, lease
             last = outcome
             tried.add(target.known.instance.id)
--- a/src/currantlead/sessions/pool.py
+++ b/src/currantlead/sessions/pool.py
@@ -1,6 +1,7 @@
 """Connections of this VM to one instance: a bounded number, lent to one statement or transaction at a time."""
 
 import asyncio
+import collections
 import dataclasses
 import itertools
 from collections.abc import Awaitable, Callable, Mapping
@@ -10,6 +11,8 @@
 
 AFFINITY_S = 0.1
 """A free connection goes to a waiter of its own organisation only until the first in line has waited this long."""
+MOST_SHARE = 0.5
+"""Share of the connections that one organisation may use while others wait: transactions that rest would take all."""
 MOST_OPENINGS = 2
 """Connections that a pool opens at a time. An opening occupies a slot of the instance; many at once take so long that
 those they were opened for have given up, and the slots are lost to statements."""
@@ -60,6 +63,7 @@
         self._on_refused = on_refused
         self._idle: list[link.Link] = []
         self._size = 0
+        self._in_use: collections.Counter[str] = collections.Counter()
         self._waiters: list[_Waiter] = []
         self._numbers = itertools.count()
         self._openings: set[asyncio.Task[None]] = set()
@@ -119,6 +123,7 @@
             raise errors.PoolUnavailableError(f"{self.instance.id} takes no new work")
         found = self._take(organisation, values)
         if found is not None:
+            self._in_use[organisation] += 1
             return found
         future: asyncio.Future[link.Link] = asyncio.get_running_loop().create_future()
         now = clock.now()
@@ -141,24 +146,31 @@
 
     def release(self, lent: link.Link) -> None:
         """Take a connection back; one that is not usable is dropped."""
-        if self._closed or not lent.usable or self._size > self.limit:
-            self.discard(lent)
+        self._in_use[lent.organisation] -= 1
+        self._place(lent)
+
+    def discard(self, lent: link.Link) -> None:
+        """Drop a connection and let a waiter open another."""
+        self._in_use[lent.organisation] -= 1
+        self._drop(lent)
+
+    def _place(self, free: link.Link) -> None:
+        """Give a connection that nobody uses to a waiter, or keep it."""
+        if self._closed or not free.usable or self._size > self.limit:
+            self._drop(free)
             return
-        waiter = self._next_waiter(lent.organisation)
+        waiter = self._next_waiter(free.organisation)
         if waiter is None:
-            self._idle.append(lent)
-        elif waiter.organisation == lent.organisation:
-            self._hand_over(waiter, lent)
-        elif len(self._openings) < MOST_OPENINGS:
-            lent.close()
-            self._open(waiter)
+            self._idle.append(free)
+        elif waiter.organisation == free.organisation:
+            self._hand_over(waiter, free)
         else:
-            self._idle.append(lent)
+            free.close()
+            self._open(waiter)
 
-    def discard(self, lent: link.Link) -> None:
-        """Drop a connection and let a waiter open another."""
-        if lent.open:
-            lent.close()
+    def _drop(self, free: link.Link) -> None:
+        if free.open:
+            free.close()
         self._size -= 1
         self._pump()
 
@@ -188,7 +200,7 @@
 
     def _pump(self) -> None:
         """Open connections for those who wait, as far as the limit allows."""
-        for waiter in sorted(self._waiters, key=lambda waiter: (waiter.priority, waiter.number)):
+        for waiter in self._in_order():
             if len(self._openings) >= MOST_OPENINGS:
                 return
             if not self._may_open(waiter):
@@ -202,6 +214,17 @@
                 return
             self._open(waiter)
 
+    def _in_order(self) -> list[_Waiter]:
+        """Return those who wait, best first: of one priority, organisations that use most connections come last."""
+
+        def key(waiter: _Waiter) -> tuple[int, bool, int]:
+            return waiter.priority, self._uses_much(waiter.organisation), waiter.number
+
+        return sorted((waiter for waiter in self._waiters if not waiter.future.done()), key=key)
+
+    def _uses_much(self, organisation: str) -> bool:
+        return self._in_use[organisation] >= self.limit * MOST_SHARE
+
     def _may_open(self, waiter: _Waiter) -> bool:
         """Tell whether a connection should be opened for a waiter: it must still be there when that is done.
 
@@ -243,10 +266,11 @@
         if waiter in self._waiters and not waiter.future.done():
             self._hand_over(waiter, opened)
         else:
-            self.release(opened)
+            self._place(opened)
 
     def _hand_over(self, waiter: _Waiter, lent: link.Link) -> None:
         self._waiters.remove(waiter)
+        self._in_use[waiter.organisation] += 1
         waiter.future.set_result(lent)
 
     def _fail(self, waiter: _Waiter, error: Exception) -> None:
@@ -257,12 +281,14 @@
 
     def _next_waiter(self, organisation: str) -> _Waiter | None:
         """Return who gets a connection of an organisation, or has it replaced by one of its own; None if nobody."""
-        waiting = sorted(
-            (waiter for waiter in self._waiters if not waiter.future.done()),
-            key=lambda waiter: (waiter.priority, waiter.number),
-        )
+        waiting = self._in_order()
         same = next((waiter for waiter in waiting if waiter.organisation == organisation), None)
+        if len(self._openings) >= MOST_OPENINGS:
+            return same
         first = next((waiter for waiter in waiting if self._may_open(waiter)), None)
-        if same is not None and (first is None or clock.now() - first.since < AFFINITY_S):
+        prefers_same = (
+            not self._uses_much(organisation) and first is not None and clock.now() - first.since < AFFINITY_S
+        )
+        if same is not None and (first is None or prefers_same):
             return same
         return first
--- a/tests/test_session_pool.py
+++ b/tests/test_session_pool.py
@@ -178,6 +178,38 @@
     assert len(opener.opened) <= len(served) * 1.2, "openings that served no statement"
 
 
+async def test_one_organisation_does_not_take_all_connections_from_those_who_wait():
+    """Callers that rest inside transactions leave half of the connections to other organisations."""
+    found, _ = make(limit=4)
+    resting = [await acquire(found, "a") for _ in range(4)]
+    again = asyncio.create_task(acquire(found, "a", timeout_s=1.0))
+    await asyncio.sleep(0)
+    others = [asyncio.create_task(acquire(found, "b", timeout_s=1.0)) for _ in range(2)]
+    await asyncio.sleep(0.01)
+    for lent in resting[:2]:
+        found.release(lent)
+        await asyncio.sleep(0.12)
+    assert all(item.done() for item in others) and not again.done()
+    found.release(resting[2])
+    assert (await again).organisation == "a"
+
+
+async def test_connections_in_use_are_counted_through_all_ends():
+    """Released, discarded, cancelled and late connections leave no count behind."""
+    found, opener = make(limit=2)
+    found.release(await acquire(found))
+    found.discard(await acquire(found))
+    opener.gate.clear()
+    with pytest.raises(errors.PoolUnavailableError):
+        await acquire(found, "b", timeout_s=0.02)
+    opener.gate.set()
+    await asyncio.sleep(0.02)
+    lent = await acquire(found, "b")
+    assert dict(+found._in_use) == {"b": 1}
+    found.release(lent)
+    assert not +found._in_use
+
+
 async def test_opening_is_tried_although_the_last_one_was_slow():
     """An expected time beyond every wait must not keep the pool empty for ever."""
     found, opener = make()
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -77,6 +77,27 @@
     assert (await caller.query("WRITE a1 x"))[0].startswith("DONE")
 
 
+async def test_read_that_failed_runs_once_more(bed):
+    """An instance that fails a part of its statements costs callers no attempt of theirs; a second failure is told."""
+    caller = await bed.caller("primary-db")
+    await caller.query("WRITE a1 x")
+    bed.service.instances["i-1"].refuse = ["FAILED"]
+    assert (await caller.query("READ a1"))[0] == "ROW x"
+    bed.service.instances["i-1"].refuse = ["FAILED", "FAILED"]
+    assert (await caller.query("READ a1"))[0].startswith("ERR FAILED")
+
+
+async def test_write_that_failed_is_not_sent_again(bed):
+    """A failure says that the statement ran."""
+    caller = await bed.caller("primary-db")
+    bed.service.instances["i-1"].refuse = ["FAILED"]
+    assert (await caller.query("WRITE a1 x"))[0].startswith("ERR FAILED")
+    await caller.query("BEGIN")
+    bed.service.instances["i-1"].refuse = ["FAILED"]
+    assert (await caller.query("WRITE a1 x"))[0].startswith("ERR FAILED")
+    assert runs(bed, "WRITE a1 x") == []
+
+
 async def test_values_follow_the_session_over_connections(bed):
     """A statement runs only where exactly the acknowledged values of its own session are set."""
     first, second = await bed.caller(), await bed.caller()
