--- a/src/currantlead/sessions/pool.py
+++ b/src/currantlead/sessions/pool.py
@@ -13,6 +13,8 @@
 """A free connection goes to a waiter of its own organisation only until the first in line has waited this long."""
 MOST_SHARE = 0.5
 """Share of the connections that one organisation may use while others wait: transactions that rest would take all."""
+LEAST_SHARE = 2
+"""Connections that one organisation may use in any case: small pools would exchange theirs all the time."""
 MOST_OPENINGS = 2
 """Connections that a pool opens at a time. An opening occupies a slot of the instance; many at once take so long that
 those they were opened for have given up, and the slots are lost to statements."""
@@ -223,7 +225,7 @@
         return sorted((waiter for waiter in self._waiters if not waiter.future.done()), key=key)
 
     def _uses_much(self, organisation: str) -> bool:
-        return self._in_use[organisation] >= self.limit * MOST_SHARE
+        return self._in_use[organisation] >= max(LEAST_SHARE, self.limit * MOST_SHARE)
 
     def _may_open(self, waiter: _Waiter) -> bool:
         """Tell whether a connection should be opened for a waiter: it must still be there when that is done.
