--- a/src/currantlead/peers/frames.py
+++ b/src/currantlead/peers/frames.py
@@ -8,7 +8,9 @@
 from currantlead import errors
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
+"""Four times the largest value of the store and the largest message of a caller."""
 PROTOCOL = 1
+"""Version of the frames; VMs of another one are refused."""
 
 Frame = list[Any]
 """A frame: kind, id, incarnation and body."""
--- a/src/currantlead/peers/network.py
+++ b/src/currantlead/peers/network.py
@@ -14,8 +14,11 @@
     from currantlead import interfaces
 
 CONNECT_TIMEOUT_S = 2.0
+"""A lost opening packet is sent again after 1 s."""
 BACKOFF_FIRST_S = 0.05
+"""A VM that restarts listens within about this time after its old process ended."""
 BACKOFF_MAX_S = 1.0
+"""A VM that is back is reached within a second."""
 
 _log = logs.part("peers")
 
--- a/src/currantlead/peers/sockets.py
+++ b/src/currantlead/peers/sockets.py
@@ -4,8 +4,11 @@
 import socket
 
 KEEPALIVE_IDLE_S = 2
+"""With the next two, a silent connection fails after 4 s."""
 KEEPALIVE_INTERVAL_S = 1
+"""Seconds between probes."""
 KEEPALIVE_PROBES = 2
+"""Unanswered probes that end a connection."""
 UNACKNOWLEDGED_MS = 3000
 """Bytes without acknowledgement end the connection after this time: instances drop dark callers after 3 s."""
 
--- a/src/currantlead/peers/stream.py
+++ b/src/currantlead/peers/stream.py
@@ -7,7 +7,9 @@
 from currantlead.peers import frames, sockets
 
 SEND_BUFFER_BYTES = 8 * 1024 * 1024
+"""Two of the largest frames; a peer that reads no more loses its stream."""
 HELLO_TIMEOUT_S = 2.0
+"""As long as the opening of a connection may take."""
 
 _log = logs.part("peers")
 
--- a/src/currantlead/platform/boot.py
+++ b/src/currantlead/platform/boot.py
@@ -120,7 +120,6 @@
         store=reader.get("platform.addr", _address),
         promotions=reader.get("cloudApi.addr", _address, required=False),
         heartbeat_s=reader.get("heartbeatMs", _milliseconds, 1.2, required=False),
-        file_descriptors=int(reader.get("limits.maxFds", _number, 4096, required=False)),
         bounds=_bounds(reader),
     )
     if reader.faults:
--- a/src/currantlead/platform/objects.py
+++ b/src/currantlead/platform/objects.py
@@ -163,9 +163,7 @@
             # ``host`` is the name of the database; ``name`` is only a label of the route.
             routes={route["host"]: _route(route) for route in value["routes"]},
             services={
-                service["name"]: model.Service(
-                    service["name"], int(service["maxConns"]), int(service.get("syncReplicas", 0))
-                )
+                service["name"]: model.Service(service["name"], int(service["maxConns"]))
                 for service in value["services"]
             },
             organisations=organisations,
--- a/src/currantlead/sessions/daemon.py
+++ b/src/currantlead/sessions/daemon.py
@@ -41,16 +41,20 @@
 STATE_WAIT_S = 20.0
 """Wait of the other watches; keep-alive probes end one that has fallen silent after 4 s."""
 HOUSEKEEPING_S = 0.25
+"""Instances are forgotten 2 s after their entries lapsed, and transactions 6 s after their last use."""
 LOG_FLUSH_S = 0.2
+"""Lines reach the pipe in batches; a line is at most this late."""
 METRICS_PATH = "/metrics"
 ROTATION_S = 2.2
 """The platform asks once a second and takes a VM out after two refusals; new sessions may come until then."""
 EXIT_MARGIN_S = 0.8
 """The process ends by itself this long before the platform would kill it."""
 START_RETRY_S = 0.3
+"""The store may be away while a VM starts; a call takes 4 ms when it is back."""
 MISSING_S = 2.0
 """Copies of the members may lack an entry for about a second after it was made."""
 ACCEPT_BACKLOG = 512
+"""Callers of one VM that reconnect at once after a restart; beyond it opening packets are sent again a second later."""
 
 _log = logs.part("daemon")
 
--- a/src/currantlead/sessions/execution.py
+++ b/src/currantlead/sessions/execution.py
@@ -22,6 +22,7 @@
 PATIENCE_SHARE = 0.35
 """Share of a read's time after which a silent instance is given up for another one."""
 LEAST_TIMEOUT_S = 0.001
+"""A wait whose time is over still ends by itself."""
 RETRY_PAUSE_S = 0.02
 """Pause after all candidates refused, unless something changes before."""
 
--- a/src/currantlead/sessions/fleet.py
+++ b/src/currantlead/sessions/fleet.py
@@ -12,6 +12,7 @@
 DRAIN_MARGIN_S = 2.0
 """A draining primary gets its last new statement this much before the bound: a statement may wait and travel."""
 EVACUATION_MARGIN_S = 1.5
+"""An evacuated primary gets its last new statement this much before the bound, as with a draining one."""
 SUSPECT_S = 1.0
 """An instance that was silent or refused connections is tried again after this time."""
 BEHIND_S = 0.8
--- a/src/currantlead/sessions/http.py
+++ b/src/currantlead/sessions/http.py
@@ -11,6 +11,7 @@
 from currantlead.sessions import settings
 
 READ_BYTES = 65536
+"""Usual size of a socket buffer."""
 CONNECT_TIMEOUT_S = 1.0
 """Several round trips between regions (24 ms) and one repeated opening packet."""
 
--- a/src/currantlead/sessions/mirror.py
+++ b/src/currantlead/sessions/mirror.py
@@ -22,6 +22,7 @@
 POLL_S = 0.5
 """Interval at which a relay is asked; with the relay's own wait of 1.5 s the age stays below 2.2 s."""
 POLL_TIMEOUT_S = 0.3
+"""A round trip in a failure domain takes 2 ms; a VM that is this late is busy or gone."""
 RELAYS = 3
 """VMs of a failure domain that may be relays; if none of them is fresh, each VM asks the store itself."""
 STALE_S = 2.2
--- a/src/currantlead/sessions/model.py
+++ b/src/currantlead/sessions/model.py
@@ -65,12 +65,10 @@
     Attributes:
         name: Name of the service.
         connections: Connections that one instance accepts, over all callers.
-        synchronous_replicas: Replicas that must have a commit before it is acknowledged.
     """
 
     name: str
     connections: int
-    synchronous_replicas: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/currantlead/sessions/paths.py
+++ b/src/currantlead/sessions/paths.py
@@ -8,6 +8,7 @@
 from currantlead.sessions import link, model, orders, pool, statements
 
 ROLLBACK_TIMEOUT_S = 1.0
+"""A rollback waits for no slot; an instance that is this late is silent, and its connection is dropped."""
 
 Check = Callable[[], statements.Failure | None]
 """Says why a statement must not be sent at this moment, or None."""
--- a/src/currantlead/sessions/readiness.py
+++ b/src/currantlead/sessions/readiness.py
@@ -9,7 +9,9 @@
 from currantlead.sessions import settings
 
 READ_BYTES = 16384
+"""Questions are far smaller."""
 IDLE_S = 30.0
+"""The platform asks once a second, and metrics are read every 5 s to 15 s."""
 
 _log = logs.part("readiness")
 
--- a/src/currantlead/sessions/settings.py
+++ b/src/currantlead/sessions/settings.py
@@ -55,7 +55,6 @@
         store: Address of the platform's store.
         promotions: Address that takes promotion calls.
         heartbeat_s: Interval at which instances renew their entries, in seconds.
-        file_descriptors: Descriptors that the process may open.
         bounds: Promised times and allowances.
     """
 
@@ -69,5 +68,4 @@
     store: Address
     promotions: Address | None
     heartbeat_s: float
-    file_descriptors: int
     bounds: Bounds
--- a/src/currantlead/sessions/store.py
+++ b/src/currantlead/sessions/store.py
@@ -11,9 +11,11 @@
 CALL_TIMEOUT_S = 0.8
 """A slow store answers in about 0.3 s; longer silence is taken for a lost connection."""
 RETRY_FIRST_S = 0.2
+"""The store drops watches when it restarts; it answers again after about this time."""
 RETRY_MOST_S = 0.4
 """A VM that the store turned away asks again after at most this time, so that it is ready soon after the outage."""
 WAIT_LEAST_S = 0.05
+"""A shorter wait would make more calls than it confirms sooner."""
 
 _log = logs.part("store")
 
--- a/src/currantlead/sessions/succession.py
+++ b/src/currantlead/sessions/succession.py
@@ -18,10 +18,13 @@
 STATUS_TIMEOUT_S = 0.5
 """A live instance answers a status question in milliseconds; opening the connection takes up to 30 ms more."""
 ORDER_TIMEOUT_S = 1.0
+"""An order is carried out in 0.3 s to 1 s, and answered before."""
 ORDER_PAUSE_S = 0.2
+"""Orders that are turned away are limited to 50 a second over all VMs."""
 ORDER_LIMIT_S = 15.0
 """A call without an answer may be carried out up to 12 s later."""
 RETRY_S = 0.5
+"""A refused attempt is repeated soon: each second without a primary costs all writes."""
 JOIN_S = 0.1
 """Time for the entry of a replica that joined just before the demotion to reach this VM."""
 ORGANISATION = "-"
--- a/tests/session_bed.py
+++ b/tests/session_bed.py
@@ -129,7 +129,6 @@
             store=settings.Address("127.0.0.1", self.store.port),
             promotions=settings.Address("127.0.0.1", self.store.port),
             heartbeat_s=1.2,
-            file_descriptors=1024,
             bounds=settings.Bounds(),
         )
         started = daemon.Daemon.from_config(checked)
