--- a/tests/process/test_session_soak.py
+++ b/tests/process/test_session_soak.py
@@ -18,10 +18,12 @@
 @pytest.mark.xdist_group("processes-3")
 @pytest.mark.parametrize(("seed", "cause"), SEEDS)
 def test_promises_hold_through_random_faults(seed, cause):
-    """No acknowledged write is lost or doubled, no session reads an older state than its own, no refusal is false."""
+    """No acknowledged write is lost, doubled or torn, no session reads an older state than its own, no refusal is false."""
     command = [sys.executable, "-m", "tools.users_demo", "--seed", str(seed), "--seconds", "8"]
     done = subprocess.run(command, capture_output=True, text=True, timeout=50)
     result = json.loads(done.stdout.splitlines()[-1])
-    broken = {name: result[name] for name in ("lost", "doubled", "stale_reads", "false_not_run") if result[name]}
+    broken = {
+        name: result[name] for name in ("lost", "doubled", "stale_reads", "false_not_run", "torn") if result[name]
+    }
     assert not broken, (cause, result)
     assert result["completed"] > 0
--- a/tests/standins/object_store.py
+++ b/tests/standins/object_store.py
@@ -20,6 +20,7 @@
         calls: Method and path of each call, in order.
         fault: Called for each call; returns a status to answer at once, "silent", "reset", "lost" (done and not
             answered), or None.
+        rewrite: Called with kind and value of each object that is written by a call; returns what is stored.
         promote: Called with service and instance for each promotion whose fence holds; returns whether it runs.
     """
 
@@ -32,6 +33,7 @@
         self.fences: dict[str, tuple[int, str]] = {}
         self.promotions: list[tuple[str, str, str, int]] = []
         self.fault: Callable[[str, str], int | str | None] = lambda method, path: None
+        self.rewrite: Callable[[str, Any], Any] = lambda kind, value: value
         self.promote: Callable[[str, str], bool] = lambda service, instance: True
         self.port = 0
         self._server: asyncio.Server | None = None
@@ -150,6 +152,8 @@
     def _change(self, method: str, kind: str, name: str, value: Any, query: dict[str, str]) -> tuple[int, Any]:
         name = name or value["meta"]["name"]
         found = self.objects.get(kind, {}).get(name)
+        if "spec" in value:
+            value["spec"] = self.rewrite(kind, value["spec"])
         if method == "POST":
             return (409, found) if found else (201, self.put(kind, name, value["spec"]))
         if found is None:
--- a/tools/users_demo.py
+++ b/tools/users_demo.py
@@ -1,8 +1,10 @@
 """Run session daemons under load and faults on one machine, and compare callers' answers with the instances' logs.
 
-The stand-ins of the users' platform run in this process; each daemon is a process of its own. Faults come at random
-times from the seed: daemons are killed, stopped and paused, a primary falls silent, replicas lag, the store turns its
-callers away.
+The stand-ins of the users' platform run in this process; each daemon is a process of its own, and reaches the store,
+the instances and the other daemons through loopback proxies. Faults come at random times from the seed and overlap:
+daemons are killed, stopped and paused, connections are delayed, cut one way, silenced and reset, a primary falls
+silent, replicas lag, the store turns its callers away. With an odd seed the instances accept fewer connections than
+there are daemons, so that holders run the others' statements.
 """
 
 import argparse
@@ -17,17 +19,20 @@
 import sys
 import tempfile
 import time
+from typing import Any
 
 import rich.console
 
 from currantlead.platform import boot
 from tests import session_bed
-from tests.standins import line_instance, object_store
+from tests.standins import line_instance, loopback_proxy, object_store
 
 VMS = 4
 SESSIONS = 24
 PAUSE_S = 0.03
 """Pause between two statements of a session, in seconds."""
+FEW_CONNECTIONS = 3
+"""Connections of an instance with an odd seed: fewer than daemons."""
 PROMISES = {"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "OVERLOAD"}
 """Codes that promise that nothing of the operation is kept."""
 _console = rich.console.Console(stderr=True)
@@ -66,11 +71,12 @@
     doubled: int = 0
     stale_reads: int = 0
     false_not_run: int = 0
+    torn: int = 0
     faults: list[str] = dataclasses.field(default_factory=list)
 
     def holds(self) -> bool:
         """Tell whether the logs agree with what callers were told."""
-        return not (self.lost or self.doubled or self.stale_reads or self.false_not_run)
+        return not (self.lost or self.doubled or self.stale_reads or self.false_not_run or self.torn)
 
 
 class Vm:
@@ -79,13 +85,14 @@
     def __init__(self, name: str, domain: str, store_port: int, folder: pathlib.Path):
         self.name = name
         self.port = session_bed.free_port()
+        self.peer_port = session_bed.free_port()
         self._metrics_port = session_bed.free_port()
         self._settings = folder / f"{name}.toml"
         self._settings.write_text(
             SETTINGS.format(
                 vm=name,
                 domain=domain,
-                peers=session_bed.free_port(),
+                peers=self.peer_port,
                 callers=self.port,
                 readiness=session_bed.free_port(),
                 store=store_port,
@@ -137,8 +144,12 @@
         self._folder = folder
         self._acknowledged: list[tuple[str, str, str]] = []
         self._promised: set[str] = set()
+        self._pairs: list[tuple[str, str]] = []
         self._store = object_store.ObjectStore()
-        self._service = line_instance.Service(session_bed.SERVICE, ["i-1", "i-2", "i-3"], cap=24)
+        self._connections = FEW_CONNECTIONS if seed % 2 else 16
+        cap = FEW_CONNECTIONS if seed % 2 else 24
+        self._service = line_instance.Service(session_bed.SERVICE, ["i-1", "i-2", "i-3"], cap=cap)
+        self._proxies: dict[str, loopback_proxy.LoopbackProxy] = {}
         self._vms: list[Vm] = []
         self._ends_at = 0.0
 
@@ -147,10 +158,17 @@
         await self._store.start()
         await self._service.start()
         self._store.promote = self._promote
-        self._store.put("config", "main", session_bed.configuration())
-        for name in self._service.instances:
+        self._store.rewrite = self._lead_peers_through_proxy
+        services = [{"name": session_bed.SERVICE, "maxConns": self._connections, "syncReplicas": 1}]
+        self._store.put("config", "main", session_bed.configuration(services=services))
+        for name, instance in self._service.instances.items():
+            await self._add_proxy(name, instance.port)
             self._register(name)
-        self._vms = [Vm(f"vm-{i}", f"z{i % 3 + 1}", self._store.port, self._folder) for i in range(VMS)]
+        for number in range(VMS):
+            vm = f"vm-{number}"
+            store_port = await self._add_proxy(f"store of {vm}", self._store.port)
+            self._vms.append(Vm(vm, f"z{number % 3 + 1}", store_port, self._folder))
+            await self._add_proxy(f"peers of {vm}", self._vms[-1].peer_port)
         for vm in self._vms:
             vm.start()
         try:
@@ -163,14 +181,32 @@
         finally:
             for vm in self._vms:
                 await vm.stop()
+            for proxy in self._proxies.values():
+                proxy.stop()
             await self._service.stop()
             await self._store.stop()
         self._compare()
         return self.result
 
+    async def _add_proxy(self, name: str, target_port: int) -> int:
+        """Put a proxy before a port and return the proxy's."""
+        proxy = self._proxies[name] = loopback_proxy.LoopbackProxy(target_port)
+        await proxy.start(session_bed.free_port())
+        return proxy.port
+
+    def _lead_peers_through_proxy(self, kind: str, value: Any) -> Any:
+        """Let daemons find each other at the proxies; datagrams to these ports are lost, as on a bad network."""
+        if kind != "members":
+            return value
+        for vm in self._vms:
+            if vm.peer_port == value["peerPort"]:
+                return value | {"peerPort": self._proxies[f"peers of {vm.name}"].port}
+        return value
+
     def _register(self, name: str) -> None:
         instance = self._service.instances[name]
-        entry = {"service": session_bed.SERVICE, "addr": f"127.0.0.1:{instance.port}", "zone": f"z{name[-1]}"}
+        port = self._proxies[name].port
+        entry = {"service": session_bed.SERVICE, "addr": f"127.0.0.1:{port}", "zone": f"z{name[-1]}"}
         entry |= {"state": "ready", "dbRole": "primary" if instance.leads else "replica", "born": 1}
         self._store.put("servers", name, entry)
 
@@ -194,7 +230,9 @@
                 request = f"r{number}x{sequence}"
                 self.result.sent += 1
                 async with asyncio.timeout(4.0):
-                    if chance.random() < 0.4:
+                    if chance.random() < 0.15:
+                        written = await self._transact(caller, request, f"item{number}", f"v{sequence}", written)
+                    elif chance.random() < 0.4:
                         written = await self._write(caller, request, f"item{number}", f"v{sequence}", written)
                     else:
                         await self._read(caller, request, f"item{number}", written)
@@ -228,6 +266,30 @@
         # The value may be either one from now on.
         return None
 
+    async def _transact(
+        self, caller: session_bed.Caller, request: str, item: str, data: str, written: str | None
+    ) -> str | None:
+        """Write two items in one transaction; both or none must be committed."""
+        self._pairs.append((f"{request}a", f"{request}b"))
+        answers = []
+        for text in ("BEGIN", f"{request}a WRITE {item} {data}", f"{request}b WRITE {item}-pair {data}", "COMMIT"):
+            known, _, rest = text.partition(" ") if text.startswith(request) else (f"{request}{text}", "", text)
+            answers.append((await caller.ask(f"QUERY {known} {rest}"))[0])
+            if not answers[-1].startswith("DONE"):
+                break
+        if len(answers) == 4 and answers[-1].startswith("DONE"):
+            self.result.completed += 1
+            self._acknowledged += [(f"{request}a", item, data), (f"{request}b", f"{item}-pair", data)]
+            return data
+        if len(answers) < 4:
+            await caller.ask(f"QUERY {request}ROLLBACK ROLLBACK")
+        if answers[-1].split(" ")[1] in PROMISES:
+            self.result.not_run += 1
+            self._promised |= {f"{request}a", f"{request}b"}
+            return written
+        self.result.may_have_run += 1
+        return None
+
     async def _read(self, caller: session_bed.Caller, request: str, item: str, written: str | None) -> None:
         answer = await caller.ask(f"QUERY {request} READ {item}")
         if answer[0].startswith("ROW "):
@@ -239,12 +301,40 @@
             self.result.not_run += 1
 
     async def _faults(self) -> None:
+        """Start faults one after the other, whether or not the ones before are over."""
+        running: set[asyncio.Task[None]] = set()
         while time.monotonic() < self._ends_at - 4.0:
             await asyncio.sleep(self._random.uniform(0.5, 2.0))
             name = self._random.choice(sorted(FAULTS))
             self.result.faults.append(name)
             _console.print(f"fault: {name}")
-            await FAULTS[name](self)
+            running.add(asyncio.create_task(FAULTS[name](self)))
+        await asyncio.gather(*running)
+
+    async def _trouble(self, forth: loopback_proxy.Trouble, back: loopback_proxy.Trouble) -> None:
+        proxy = self._random.choice(list(self._proxies.values()))
+        proxy.forth, proxy.back = forth, back
+        await asyncio.sleep(self._random.uniform(0.5, 4.0))
+        proxy.heal()
+
+    async def delay(self) -> None:
+        """Delay what passes one proxy."""
+        late = loopback_proxy.Trouble(delay_s=self._random.uniform(0.05, 0.6))
+        await self._trouble(late, late)
+
+    async def cut_one_way(self) -> None:
+        """Lose the bytes of one direction at one proxy."""
+        lost, good = loopback_proxy.Trouble(swallowed=True), loopback_proxy.Trouble()
+        await self._trouble(*((lost, good) if self._random.random() < 0.5 else (good, lost)))
+
+    async def silence_connections(self) -> None:
+        """Lose the bytes of both directions at one proxy."""
+        lost = loopback_proxy.Trouble(swallowed=True)
+        await self._trouble(lost, lost)
+
+    async def reset(self) -> None:
+        """Reset the connections through one proxy."""
+        self._random.choice(list(self._proxies.values())).reset()
 
     async def kill(self) -> None:
         """Kill a daemon."""
@@ -298,6 +388,7 @@
     def _compare(self) -> None:
         """Compare the log with what callers were told."""
         committed = collections.Counter(request for commit in self._service.log for request, _, _ in commit.writes)
+        self.result.torn = sum((first in committed) != (second in committed) for first, second in self._pairs)
         self.result.doubled = sum(count > 1 for count in committed.values())
         self.result.lost = sum(request not in committed for request, _, _ in self._acknowledged)
         self.result.false_not_run = sum(request in committed for request in self._promised)
@@ -308,6 +399,10 @@
     "stop": Soak.stop,
     "pause": Soak.pause,
     "silence": Soak.silence,
+    "delay": Soak.delay,
+    "cut_one_way": Soak.cut_one_way,
+    "silence_connections": Soak.silence_connections,
+    "reset": Soak.reset,
     "lag": Soak.lag,
     "lose_answers": Soak.lose_answers,
     "refuse_store": Soak.refuse_store,
