--- a/tests/process/test_session_soak.py
+++ b/tests/process/test_session_soak.py
@@ -18,7 +18,7 @@
 @pytest.mark.xdist_group("processes-3")
 @pytest.mark.parametrize(("seed", "cause"), SEEDS)
 def test_promises_hold_through_random_faults(seed, cause):
-    """No acknowledged write is lost, doubled or torn, no session reads an older state than its own, no refusal is false."""
+    """No acknowledged write is lost, doubled or torn, no read is older than its session, no refusal is false."""
     command = [sys.executable, "-m", "tools.users_demo", "--seed", str(seed), "--seconds", "8"]
     done = subprocess.run(command, capture_output=True, text=True, timeout=50)
     result = json.loads(done.stdout.splitlines()[-1])
--- /dev/null
+++ b/tests/test_session_program.py
@@ -0,0 +1,41 @@
+"""Start of the session daemon's program: faulty settings end it before a socket opens."""
+
+import pytest
+
+from currantlead.platform import boot
+from currantlead.sessions import __main__ as program
+
+GOOD = """
+node = "front-1"
+ip = "127.0.0.1"
+zone = "z1"
+internalPorts = [7000, 7001]
+[zones]
+z1 = "r1"
+[listen]
+front = "127.0.0.1:7002"
+ready = "127.0.0.1:7003"
+[platform]
+addr = "127.0.0.1:7004"
+"""
+
+
+@pytest.mark.parametrize(
+    ("text", "variables", "fault"),
+    [
+        (GOOD.replace('zone = "z1"', "zone = 7"), {}, "zone: expected text"),
+        (GOOD, {boot.METRICS_PORT_VARIABLE: "many"}, "many"),
+        (GOOD, {program.LOG_LEVEL_VARIABLE: "LOUD"}, "expected one of DEBUG, INFO, WARNING, ERROR, got 'LOUD'"),
+        (None, {}, "No such file"),
+    ],
+)
+def test_faulty_settings_are_named_and_end_the_program(tmp_path, monkeypatch, capsys, text, variables, fault):
+    """Each fault is told on standard error, and the exit code is 2."""
+    path = tmp_path / "boot.toml"
+    if text is not None:
+        path.write_text(text)
+    monkeypatch.setenv(boot.PATH_VARIABLE, str(path))
+    for name, value in variables.items():
+        monkeypatch.setenv(name, value)
+    assert program.main() == 2
+    assert fault in capsys.readouterr().err
--- a/tools/settings_page.py
+++ b/tools/settings_page.py
@@ -8,6 +8,7 @@
 
 from currantlead import settings as product_settings
 from currantlead.platform import boot
+from currantlead.sessions import __main__ as program
 from currantlead.sessions import settings
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -97,6 +98,8 @@
     lines += ["\n## Environment of the session daemon\n", "| variable | default | meaning |", "| --- | --- | --- |"]
     lines += [f"| {boot.PATH_VARIABLE} | - | Path of the platform's settings file. |"]
     lines += [f"| {boot.METRICS_PORT_VARIABLE} | {boot.METRICS_PORT} | Port for metrics. |"]
+    levels = ", ".join(program.LOG_LEVELS)
+    lines += [f"| {program.LOG_LEVEL_VARIABLE} | INFO | Lowest level of log lines: {levels}. |"]
     lines += ["\n## Flags and variables of `currantlead serve`\n", "| flag | variable | default | meaning |"]
     lines += ["| --- | --- | --- | --- |"]
     for name, field in product_settings.Settings.model_fields.items():
--- a/tools/users_demo.py
+++ b/tools/users_demo.py
@@ -102,16 +102,20 @@
         self.process: asyncio.subprocess.Process | None = None
         self._task: asyncio.Task[None] | None = None
 
-    def start(self) -> None:
-        """Keep the process running."""
-        self._task = asyncio.create_task(self._supervise())
+    def start(self, variables: dict[str, str] | None = None) -> None:
+        """Keep the process running, with further environment variables."""
+        self._task = asyncio.create_task(self._supervise(variables or {}))
 
-    async def _supervise(self) -> None:
+    async def _supervise(self, variables: dict[str, str]) -> None:
         while True:
-            environment = os.environ | {
-                boot.PATH_VARIABLE: str(self._settings),
-                boot.METRICS_PORT_VARIABLE: str(self._metrics_port),
-            }
+            environment = (
+                os.environ
+                | variables
+                | {
+                    boot.PATH_VARIABLE: str(self._settings),
+                    boot.METRICS_PORT_VARIABLE: str(self._metrics_port),
+                }
+            )
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", "currantlead.sessions", env=environment, stdout=self._log, stderr=self._log
             )
