--- a/src/currantlead/sessions/holders.py
+++ b/src/currantlead/sessions/holders.py
@@ -14,7 +14,7 @@
 from currantlead.sessions import clock, fleet, model, orders, paths, statements
 
 RUN, CONTINUE, END = "run", "continue", "end"
-HELD_CONNECTIONS = 10
+HELD_CONNECTIONS = 16
 """Connections of one holder: enough that organisations, which are spread over the holders, find one of their own."""
 IDLE_S = 6.0
 """A transaction that is idle for longer is rolled back: idle ones end after 3 s, so its caller's VM is gone."""
--- a/src/currantlead/sessions/shares.py
+++ b/src/currantlead/sessions/shares.py
@@ -5,8 +5,6 @@
 
 from currantlead.sessions import holders, members, model
 
-SPARE_CONNECTIONS = 1
-"""Connections of each instance that stay free for promotions."""
 USED_SHARE = 0.6
 """Share of an instance's connections that the VMs use: it keeps those of VMs without power for 3 s, and VMs that come
 back need some of their own meanwhile."""
@@ -15,8 +13,11 @@
 holder that loses power leaves fewer of them behind than all VMs would."""
 LARGE_SHARE = 0.04
 """Share of all rates from which an organisation is spread over all holders: it fills a connection of 25 by itself."""
-LEAST_CONNECTIONS = 2
-"""Connections of a VM to an instance, if all VMs can have that many: one alone is taken by a single transaction."""
+OWN_CONNECTIONS = 2.5
+"""Connections to an instance that each VM needs for itself; with fewer, organisations exchange them all the time (2 of
+253 for each of 77 VMs: four in ten statements opened one)."""
+HOLDERS_LEAST, HOLDERS_MOST = 2, 4
+"""Holders of one instance: another is there when one dies, and each has enough connections for its organisations."""
 
 
 class Shares:
@@ -28,17 +29,15 @@
         self._ranked: dict[str, tuple[tuple[str, int, int], list[str]]] = {}
 
     def shared(self, service: str) -> bool:
-        """Tell whether an instance accepts fewer connections than there are VMs, so that holders lend them."""
-        return self._connections(service) - SPARE_CONNECTIONS < self._peers.count
+        """Tell whether an instance accepts too few connections for all VMs, so that a few hold them for the others."""
+        return self._connections(service) * USED_SHARE < OWN_CONNECTIONS * self._peers.count
 
     def limit(self, service: str) -> int:
         """Return how many connections to one instance a VM that holds any may open."""
         connections = self._connections(service)
         if self.shared(service):
             return max(1, int(connections * HELD_SHARE) // self._holder_count(service))
-        usual = int(connections * USED_SHARE) // self._peers.count
-        least = min(LEAST_CONNECTIONS, (connections - SPARE_CONNECTIONS) // self._peers.count)
-        return max(1, usual, least)
+        return max(1, int(connections * USED_SHARE) // self._peers.count)
 
     def holders(self, instance: model.Instance, is_down: Callable[[str], bool] = lambda vm: False) -> list[str]:
         """Return the VMs that hold an instance's connections, those that do not answer left out."""
@@ -57,7 +56,8 @@
         return found[organisation].rate >= LARGE_SHARE * sum(item.rate for item in found.values())
 
     def _holder_count(self, service: str) -> int:
-        return max(1, int(self._connections(service) * HELD_SHARE) // holders.HELD_CONNECTIONS)
+        wanted = int(self._connections(service) * HELD_SHARE) // holders.HELD_CONNECTIONS
+        return min(max(wanted, HOLDERS_LEAST), HOLDERS_MOST)
 
     def _connections(self, service: str) -> int:
         found = self._configuration().services.get(service)
