--- a/tests/test_holders.py
+++ b/tests/test_holders.py
@@ -5,7 +5,7 @@
 import pytest
 
 from currantlead.peers import frames
-from currantlead.sessions import clock, forwarding, holders, liveness, model, orders, statements
+from currantlead.sessions import clock, forwarding, holders, liveness, model, orders, shares, statements
 from tests import session_bed
 
 MEMBERS = [model.Member(f"vm-{number}", "127.0.0.1", number, f"z{number % 3}") for number in range(12)]
@@ -78,8 +78,9 @@
 
 
 @pytest.fixture
-async def pair():
+async def pair(monkeypatch):
     """Provide two VMs that share instances with two connections each: one VM holds, the other borrows."""
+    monkeypatch.setattr(shares, "HOLDERS_LEAST", 1)
     async with session_bed.Bed(cap=2) as bed:
         bed.store.put("config", "main", session_bed.configuration(2, services=[{"name": "svc1", "maxConns": 2}]))
         second = await bed.add_daemon("vm-2", "z1")
