See silence and stuck commits at the connections, and tell the VM whose turn a promotion is

The VM in turn saw little traffic of its own, ranks counted 77 VMs 0.7 s apart, and an unreachable primary cost a connection timeout twice.

- An instance that answers none of the orders under way for 0.4 s is suspect; a commit that takes 0.5 s while none succeeds counts as unanswered.
- What a VM sees of a primary it tells the three VMs that act first.
They ask the primary, or the replicas what they receive, before they replace it.
- Ranks count VMs that answer; the old primary is reached for beside the replicas' pause.
- A statement that an instance refused as busy is offered again for 0.6 of the objective (an instance sheds a part of its statements at random).

--- a/src/currantlead/sessions/daemon.py
+++ b/src/currantlead/sessions/daemon.py
@@ -8,6 +8,7 @@
 from currantlead.peers import identity, network
 from currantlead.platform import lines, objects
 from currantlead.sessions import (
+    alarms,
     allowance,
     clock,
     confirmation,
@@ -103,10 +104,11 @@
         )
         self.mirror.share(self.sampler)
         self.succession = (
-            succession.Succession(self.fleet, self.store, checked.promotions, vm=checked.vm, members=self.peers.names)
+            succession.Succession(self.fleet, self.store, checked.promotions, vm=checked.vm, members=self._answering)
             if checked.promotions is not None
             else None
         )
+        self.alarms = alarms.Alarms(self.fleet, self.network, self._answering)
         self._keep_copies()
         self._direct: dict[str, paths.DirectPath] = {}
         self._forwarding: dict[str, forwarding.ForwardingPath] = {}
@@ -145,6 +147,7 @@
         self._spawn(self._register())
         self.timers.subscribe("housekeeping", HOUSEKEEPING_S, self._housekeep)
         self.timers.subscribe("silent VMs", liveness.CHECK_S, self.liveness.check_silent)
+        self.timers.subscribe("silent instances", liveness.CHECK_S, self._check_activity)
         self.timers.subscribe("patrol", patrol.PATROL_S, self.patrol.check)
         self.timers.subscribe("samples", sampling.SAMPLE_S, self.sampler.refresh)
         if self.succession is not None:
@@ -294,6 +297,21 @@
         if not error.overloaded:
             self.fleet.suspect(instance_id, str(error))
 
+    def _answering(self) -> list[str]:
+        """Return the VMs that did not fail to answer a moment ago, this one included."""
+        return [name for name in self.peers.names() if not self.liveness.is_down(name)]
+
+    def _check_activity(self) -> None:
+        """Suspect the instances that answer none of the orders under way."""
+        for path in self._direct.values():
+            silent_s = path.activity.silent_s()
+            if silent_s > paths.SILENT_S:
+                self.fleet.suspect(path.instance.id, f"no answer for {silent_s:.1f} s")
+            if path.activity.stuck_s() > paths.COMMIT_S:
+                self.fleet.note_write(path.instance.id, answered=False)
+            elif clock.now() - path.activity.committed_at < 2 * liveness.CHECK_S:
+                self.fleet.note_write(path.instance.id, answered=True)
+
     def _path_of(self, instance: model.Instance) -> paths.Path:
         """Return how statements of this VM's sessions reach an instance."""
         if not self.shares.shared(instance.service):
--- a/src/currantlead/sessions/election.py
+++ b/src/currantlead/sessions/election.py
@@ -11,10 +11,11 @@
 TURN_S = 3.0
 """After another VM took the duty it has this long: an order takes effect up to a second later, and a second order
 in between would roll back what the new primary has committed since."""
-SILENT_S = 0.8
+SILENT_S = 0.4
 """A primary that gave no good answer for this long is asked for its status, and replaced if that fails too."""
-STUCK_S = 1.2
-"""A primary that answers, but whose commits stayed unanswered for this long, has lost its replicas."""
+STUCK_S = 0.6
+"""A primary that answers, but whose commits stayed unanswered for this long, may have lost its replicas; before it is
+replaced, they are asked what they receive."""
 ABSENT_S = 4.0
 """A service without a primary is left alone for this long: entries appear one by one, at intervals of up to 3.6 s."""
 SETTLE_S = 6.0
@@ -59,13 +60,18 @@
     return ""
 
 
-def rank(service: str, own: str, members: Iterable[str]) -> int:
-    """Return this VM's place among those that may act for a service; the order differs between services."""
+def order(service: str, members: Iterable[str]) -> list[str]:
+    """Return the VMs in the order in which they act for a service; it differs between services."""
 
     def weight(name: str) -> bytes:
         return hashlib.blake2b(f"{service}/{name}".encode(), digest_size=8).digest()
 
-    return sorted(members, key=weight).index(own)
+    return sorted(members, key=weight)
+
+
+def rank(service: str, own: str, members: Iterable[str]) -> int:
+    """Return this VM's place among those that may act for a service."""
+    return order(service, members).index(own)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/currantlead/sessions/execution.py
+++ b/src/currantlead/sessions/execution.py
@@ -19,6 +19,8 @@
 HOLD_SHARE = 0.24
 """Share of an operation's response-time objective that it may wait for an instance; a refusal later than a quarter of
 the objective leaves the caller too little time for another attempt."""
+OFFERED_HOLD_SHARE = 0.6
+"""The same for a statement that an instance refused as busy: trying again costs the caller less than coming back."""
 PATIENCE_SHARE = 0.35
 """Share of a read's time after which a silent instance is given up for another one."""
 LEAST_TIMEOUT_S = 0.001
@@ -64,6 +66,7 @@
                 timeout_s=left_s,
                 opening=orders.Opening.LEADS if guarded else orders.Opening.NOTHING,
                 after=target.after,
+                commits=writes,
                 discards=guarded,
             )
 
@@ -102,9 +105,11 @@
             errors.LinkLostError: The connection is gone; the instance rolls the transaction back unless it commits.
         """
         instance_id = lease.transaction.instance.id
-        order = _order(context, request_id, statement, timeout_s=context.route.timeout_s)
         lease.wrote = lease.wrote or _writes(context, statement)
         commits = statement.kind is statements.Kind.COMMIT
+        order = _order(
+            context, request_id, statement, timeout_s=context.route.timeout_s, commits=commits and lease.wrote
+        )
         try:
             report = await lease.transaction.run(order)
         except errors.LinkLostError as error:
@@ -139,7 +144,8 @@
         """
         began_at = clock.now()
         deadline = began_at + context.route.timeout_s
-        hold_until = began_at + min(context.route.target_s, context.route.timeout_s) * HOLD_SHARE
+        most_s = min(context.route.target_s, context.route.timeout_s)
+        hold_until = began_at + most_s * HOLD_SHARE
         tried: set[str] = set()
         last = operations.Outcome.refused(statements.Code.BUSY, "no instance")
         while True:
@@ -162,6 +168,8 @@
                 repeatable = False
             elif not self._try_elsewhere(outcome, target):
                 return outcome, lease
+            if outcome.offered and outcome.failure is not None and outcome.failure.code is statements.Code.BUSY:
+                hold_until = began_at + most_s * OFFERED_HOLD_SHARE
             last = outcome
             tried.add(target.known.instance.id)
             if clock.now() >= hold_until:
@@ -328,6 +336,7 @@
     timeout_s: float,
     opening: orders.Opening = orders.Opening.NOTHING,
     after: model.Position | None = None,
+    commits: bool = False,
     discards: bool = False,
 ) -> orders.Order:
     prepared = statement.kind is statements.Kind.EXECUTE
@@ -339,6 +348,7 @@
         shape=context.prepared[statement.name] if prepared else None,
         opening=opening,
         after=after,
+        commits=commits,
         discards=discards,
     )
 
--- a/src/currantlead/sessions/fleet.py
+++ b/src/currantlead/sessions/fleet.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Iterable, Mapping
+import enum
+from collections.abc import Callable, Iterable, Mapping
 
 from currantlead import logs
 from currantlead.sessions import clock, election, model, settings
@@ -51,8 +52,19 @@
     stuck_since: float | None = None
 
 
+class Trouble(enum.Enum):
+    """Name what was seen of an instance."""
+
+    SILENT = "silent"
+    STUCK = "stuck"
+
+
 class Fleet:
-    """Keep the instances by service, and answer which of them may get new work."""
+    """Keep the instances by service, and answer which of them may get new work.
+
+    Attributes:
+        on_trouble: Told of trouble that this VM saw itself: instance, kind and reason.
+    """
 
     def __init__(self, bounds: settings.Bounds, region_of: Mapping[str, str]):
         self._bounds = bounds
@@ -62,6 +74,7 @@
         self._promoted_at: dict[str, float] = {}
         self._absent_since: dict[str, float] = {}
         self._changed = asyncio.Event()
+        self.on_trouble: Callable[[str, Trouble, str], None] = lambda instance_id, trouble, reason: None
 
     def replace(self, instances: Iterable[model.Instance]) -> None:
         """Take the store's whole list; entries that are missing lapse."""
@@ -176,8 +189,8 @@
         """Return the region of an instance, or an empty name if it is unknown."""
         return self._region_of.get(known.instance.domain, "")
 
-    def suspect(self, instance_id: str, reason: str) -> None:
-        """Prefer other instances for a while."""
+    def suspect(self, instance_id: str, reason: str, *, told: bool = False) -> None:
+        """Prefer other instances for a while; ``told`` if another VM saw the reason."""
         known = self._known.get(instance_id)
         if known is None:
             return
@@ -186,6 +199,8 @@
         if known.failing_since is None:
             known.failing_since = clock.now()
         known.suspect_until = clock.now() + SUSPECT_S
+        if not told:
+            self.on_trouble(instance_id, Trouble.SILENT, reason)
 
     def trust(self, instance_id: str) -> None:
         """Take note of a good answer."""
@@ -194,13 +209,15 @@
             known.suspect_until = 0.0
             known.failing_since = None
 
-    def note_write(self, instance_id: str, *, answered: bool) -> None:
+    def note_write(self, instance_id: str, *, answered: bool, told: bool = False) -> None:
         """Take note whether a write was answered; a primary without replicas leaves all of them unanswered."""
         known = self._known.get(instance_id)
         if known is not None and answered:
             known.stuck_since = None
         elif known is not None and known.stuck_since is None:
             known.stuck_since = clock.now()
+        if not answered and not told:
+            self.on_trouble(instance_id, Trouble.STUCK, "a write was not answered")
 
     def observe(self, service: str) -> election.Observation:
         """Return what is known of a service's primary."""
--- a/src/currantlead/sessions/holders.py
+++ b/src/currantlead/sessions/holders.py
@@ -199,13 +199,14 @@
         None if order.shape is None else (order.shape[0], _to_bytes(order.shape[1])),
         order.opening.value,
         _encode_position(order.after),
+        order.commits,
         order.discards,
     ]
 
 
 def decode_order(values: Sequence[Any]) -> orders.Order:
     """Return the order of plain values."""
-    request, text, session_values, timeout_s, shape, opening, after, discards = values
+    request, text, session_values, timeout_s, shape, opening, after, commits, discards = values
     return orders.Order(
         request=_to_text(request),
         text=_to_text(text),
@@ -214,6 +215,7 @@
         shape=None if shape is None else (shape[0], _to_text(shape[1])),
         opening=orders.Opening(opening),
         after=_decode_position(after),
+        commits=commits,
         discards=discards,
     )
 
--- a/src/currantlead/sessions/operations.py
+++ b/src/currantlead/sessions/operations.py
@@ -56,6 +56,7 @@
         position: Position of the instance's log, or None.
         may_have_run: Whether the statement may have taken effect or been counted by an instance.
         unanswered: Whether nothing came back and another attempt is harmless.
+        offered: Whether the answer is an instance's own.
     """
 
     rows: tuple[str, ...]
@@ -63,6 +64,7 @@
     position: model.Position | None = None
     may_have_run: bool = True
     unanswered: bool = False
+    offered: bool = False
 
     @classmethod
     def refused(cls, code: statements.Code, detail: str) -> "Outcome":
@@ -73,7 +75,8 @@
     def of(cls, reply: statements.Reply) -> "Outcome":
         """Return the outcome that an instance's answer means."""
         failure = reply.failure
-        return cls(reply.rows, reply.result, reply.position, failure is None or failure.code not in statements.NOT_RUN)
+        may_have_run = failure is None or failure.code not in statements.NOT_RUN
+        return cls(reply.rows, reply.result, reply.position, may_have_run, offered=True)
 
     @property
     def failure(self) -> statements.Failure | None:
--- a/src/currantlead/sessions/orders.py
+++ b/src/currantlead/sessions/orders.py
@@ -36,6 +36,7 @@
         shape: Whether the prepared statement writes, and its shape; None for other statements.
         opening: What is opened before the statement.
         after: Position that the instance's log must have, or None.
+        commits: Whether the statement is acknowledged only once a replica has it.
         discards: Whether the opened transaction is the proxy's own and is rolled back together with the statement.
     """
 
@@ -46,6 +47,7 @@
     shape: tuple[bool, str] | None = None
     opening: Opening = Opening.NOTHING
     after: model.Position | None = None
+    commits: bool = False
     discards: bool = False
 
 
--- a/src/currantlead/sessions/paths.py
+++ b/src/currantlead/sessions/paths.py
@@ -1,15 +1,22 @@
 """Paths on which a VM's statements reach an instance: over its own connections, or by way of a holder."""
 
 import abc
+import itertools
 from collections.abc import Callable
 
 from currantlead import errors, logs
 from currantlead.platform import lines
-from currantlead.sessions import link, model, orders, pool, statements
+from currantlead.sessions import clock, link, model, orders, pool, statements
 
 ROLLBACK_TIMEOUT_S = 1.0
 """A rollback waits for no slot; an instance that is this late is silent, and its connection is dropped."""
 
+SILENT_S = 0.4
+"""An instance that answers nothing for this long while orders are under way is suspect; under load answers come every
+few milliseconds, and the longest statements take about 0.1 s."""
+COMMIT_S = 0.5
+"""An instance whose commits take this long, while none succeeds, may have lost its replicas."""
+
 Check = Callable[[], statements.Failure | None]
 """Says why a statement must not be sent at this moment, or None."""
 
@@ -83,17 +90,54 @@
         """
 
 
+class Activity:
+    """Tell for how long an instance has answered none of the orders that are under way.
+
+    Attributes:
+        committed_at: Clock reading of the last commit that succeeded.
+    """
+
+    def __init__(self) -> None:
+        self._started: dict[int, tuple[float, bool]] = {}
+        self._numbers = itertools.count()
+        self._heard_at = float("-inf")
+        self.committed_at = float("-inf")
+
+    async def perform(self, order: orders.Order, lent: link.Link) -> orders.Report:
+        """Carry out an order; see ``orders.perform``."""
+        number = next(self._numbers)
+        self._started[number] = clock.now(), order.commits
+        try:
+            report = await orders.perform(order, lent)
+            self._heard_at = clock.now()
+            if order.commits and report.reply.failure is None:
+                self.committed_at = self._heard_at
+            return report
+        finally:
+            del self._started[number]
+
+    def silent_s(self) -> float:
+        """Return the seconds since the last answer, or since the oldest order under way if that is less; 0 if idle."""
+        started = [at for at, _ in self._started.values()]
+        return clock.now() - max(self._heard_at, min(started)) if started else 0.0
+
+    def stuck_s(self) -> float:
+        """Return the same for orders that commit and their success."""
+        started = [at for at, commits in self._started.values() if commits]
+        return clock.now() - max(self.committed_at, min(started)) if started else 0.0
+
+
 class DirectTransaction(Transaction):
     """Run statements on a connection of this VM that is inside a transaction."""
 
-    def __init__(self, lent: link.Link, connections: pool.Pool):
+    def __init__(self, lent: link.Link, path: "DirectPath"):
         self.instance = lent.instance
         self.link = lent
-        self.pool = connections
+        self.path = path
 
     async def run(self, order: orders.Order) -> orders.Report:
         """Run a statement; see ``Transaction.run``."""
-        return await orders.perform(order, self.link)
+        return await self.path.activity.perform(order, self.link)
 
     async def end(self) -> None:
         """Roll back what is still open, and give the connection back."""
@@ -102,15 +146,21 @@
                 await self.link.exchange(_codec.encode_rollback(), timeout_s=ROLLBACK_TIMEOUT_S)
             except errors.LinkLostError as error:
                 _log.bind(instance=self.instance.id).info("rollback unanswered, connection dropped: {}", error)
-        self.pool.release(self.link)
+        self.path.pool.release(self.link)
 
 
 class DirectPath(Path):
-    """Run orders on this VM's own connections."""
+    """Run orders on this VM's own connections.
+
+    Attributes:
+        pool: The connections.
+        activity: Which orders are under way, and when the last answer came.
+    """
 
     def __init__(self, connections: pool.Pool):
         self.instance = connections.instance
         self.pool = connections
+        self.activity = Activity()
 
     @property
     def saturated(self) -> bool:
@@ -136,14 +186,14 @@
             self.pool.release(lent)
             raise errors.OrderRefusedError(refusal)
         try:
-            report = await orders.perform(order, lent)
+            report = await self.activity.perform(order, lent)
         except BaseException:
             self.pool.discard(lent)
             raise
         if lent.state is statements.TransactionState.IDLE:
             self.pool.release(lent)
             return report, None
-        transaction = DirectTransaction(lent, self.pool)
+        transaction = DirectTransaction(lent, self)
         if report.reply.failure is not None:
             await transaction.end()
             return report, None
--- a/src/currantlead/sessions/succession.py
+++ b/src/currantlead/sessions/succession.py
@@ -25,6 +25,8 @@
 """A call without an answer may be carried out up to 12 s later."""
 RETRY_S = 0.5
 """A refused attempt is repeated soon: each second without a primary costs all writes."""
+RECEIVE_S = 0.25
+"""Time in which a replica that is not cut off receives a commit; one way takes 12 ms, and the log lags in applying."""
 JOIN_S = 0.1
 """Time for the entry of a replica that joined just before the demotion to reach this VM."""
 ORGANISATION = "-"
@@ -114,6 +116,9 @@
         if old is not None and reason == "silent" and await self._answers(old.instance):
             self._fleet.trust(old.instance.id)
             return "the primary answers"
+        if old is not None and reason == "commits are stuck" and not await self._is_stuck(service, old.instance):
+            self._fleet.note_write(old.instance.id, answered=True)
+            return "a replica receives"
         generation = await self._take_duty(service)
         if generation is None:
             return "another VM has the duty"
@@ -132,11 +137,16 @@
         joins meanwhile would let it acknowledge commits that the chosen one lacks.
         """
         former = old.instance.id if old is not None else ""
+        # A primary that cannot be reached takes the whole connection timeout, so this starts before the replicas stop.
+        reaching = asyncio.create_task(self._connect(old.instance)) if old is not None else None
         term = await self._stop_replicas(service, former, opened, 0)
+        reached = await reaching if reaching is not None else None
         if isinstance(term, str):
+            if reached is not None:
+                reached.close()
             await self._resume(service, generation, opened)
             return term
-        if old is not None and await self._demote(old.instance, term):
+        if reached is not None and await self._demote(reached, term):
             await asyncio.sleep(JOIN_S)
             joined = await self._stop_replicas(service, former, opened, term)
             if isinstance(joined, str):
@@ -174,14 +184,11 @@
         await self._ask_all(links, _codec.encode_pause(term))
         return term
 
-    async def _demote(self, instance: model.Instance, term: int) -> bool:
+    async def _demote(self, reached: link.Link, term: int) -> bool:
         """Make the old primary a replica; return whether it answered."""
-        found = await self._connect(instance)
-        if found is None:
-            return False
-        status = await self._ask(found, _codec.encode_demote(term))
-        found.close()
-        _log.bind(instance=instance.id, position=str(status.received) if status else None).info("demoted")
+        status = await self._ask(reached, _codec.encode_demote(term))
+        reached.close()
+        _log.bind(instance=reached.instance.id, position=str(status.received) if status else None).info("demoted")
         return status is not None
 
     async def _ask_all(self, links: list[link.Link], message: bytes) -> list[model.InstanceStatus | None]:
@@ -244,6 +251,30 @@
         found.close()
         return status is not None
 
+    async def _is_stuck(self, service: str, primary: model.Instance) -> bool:
+        """Tell whether no replica receives what the primary has; lost answers alone look the same to callers."""
+        opened = [
+            item
+            for item in await asyncio.gather(*map(self._connect, [primary, *self._replicas(service, primary.id)]))
+            if item is not None
+        ]
+        try:
+            first = await self._ask_all(opened, _codec.encode_status())
+            await asyncio.sleep(RECEIVE_S)
+            second = await self._ask_all(opened, _codec.encode_status())
+        finally:
+            for item in opened:
+                item.close()
+        if not opened or opened[0].instance.id != primary.id or first[0] is None:
+            return True
+        received = [(old, new) for old, new in zip(first[1:], second[1:], strict=True) if old and new]
+        _log.bind(
+            service=service,
+            primary=str(first[0].received),
+            replicas=[f"{old.received} to {new.received}" for old, new in received],
+        ).info("looked whether commits are stuck")
+        return all(new.received < first[0].received and new.received == old.received for old, new in received)
+
     async def _connect(self, instance: model.Instance) -> link.Link | None:
         try:
             return await link.Link.connect(instance, ORGANISATION)
--- a/tests/standins/line_instance.py
+++ b/tests/standins/line_instance.py
@@ -38,6 +38,7 @@
 
     Attributes:
         lag_s: Delay of each replica, in seconds.
+        cut_at: Number of commits after which the replicas are cut off from the primary, or None.
         runs: Statements that ran, in order.
         answered: Commits that were acknowledged, with the reading of the clock.
     """
@@ -52,12 +53,14 @@
         self.primary = ids[0]
         self.runs: list[Run] = []
         self.lag_s: dict[str, float] = {}
+        self.cut_at: int | None = None
 
     def received(self, instance: "Instance") -> int:
         """Return how many commits an instance has received."""
         if instance.id == self.primary:
             return len(self.log)
-        return len(self.log) if instance.held_term == 0 else min(instance.held_at, len(self.log))
+        reached = len(self.log) if self.cut_at is None else min(self.cut_at, len(self.log))
+        return reached if instance.held_term == 0 else min(instance.held_at, reached)
 
     def applied(self, instance: "Instance") -> int:
         """Return how many commits an instance has applied."""
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -15,9 +15,10 @@
         (election.Observation(absent_s=4.0), "no primary"),
         (election.Observation(leaving=True), "leaving"),
         (election.Observation(lapsed=True), "entry lapsed"),
-        (election.Observation(failing_s=0.5), ""),
-        (election.Observation(failing_s=0.9), "silent"),
-        (election.Observation(stuck_s=1.3), "commits are stuck"),
+        (election.Observation(failing_s=0.3), ""),
+        (election.Observation(failing_s=0.5), "silent"),
+        (election.Observation(stuck_s=0.5), ""),
+        (election.Observation(stuck_s=0.7), "commits are stuck"),
         (election.Observation(stuck_s=1.3, settled_s=2.0), ""),
     ],
 )
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -87,6 +87,14 @@
     assert (await caller.query("READ a1"))[0].startswith("ERR FAILED")
 
 
+async def test_write_that_a_busy_primary_refused_is_offered_again(bed):
+    """An instance that turns a part of its statements away costs callers no attempt of theirs."""
+    caller = await bed.caller("primary-db")
+    bed.service.instances["i-1"].refuse = ["BUSY"] * 5
+    assert (await caller.query("WRITE a1 x"))[0].startswith("DONE i-1")
+    assert len(runs(bed, "WRITE a1 x")) == 1
+
+
 async def test_write_that_failed_is_not_sent_again(bed):
     """A failure says that the statement ran."""
     caller = await bed.caller("primary-db")
