--- a/src/currantlead/sessions/patrol.py
+++ b/src/currantlead/sessions/patrol.py
@@ -34,9 +34,11 @@
         near = [member for member in self._members.others() if member.domain == own.domain]
         quiet = [member.name for member in near if not self._mirror.is_listening(member.name)]
         await asyncio.gather(*(self._liveness.check(name) for name in quiet))
-        for member in near:
-            if self._liveness.down_for(member.name) > GONE_S:
-                await self._remove(member.name)
+        gone = [member.name for member in near if self._liveness.down_for(member.name) > GONE_S]
+        answering = sum(not self._liveness.is_down(member.name) for member in near)
+        # A VM that hears of few others is probably cut off itself. One at a time, as each removal divides rates anew.
+        if gone and 2 * answering >= len(near):
+            await self._remove(gone[0])
 
     async def _remove(self, name: str) -> None:
         revision = self._mirror.revision_of(objects.MEMBERS, name)
