--- a/src/currantlead/sessions/daemon.py
+++ b/src/currantlead/sessions/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 import signal
+import socket
 
 from currantlead import logs, timers
 from currantlead.peers import identity, network
@@ -45,8 +46,6 @@
 """The platform asks once a second and takes a VM out after two refusals; new sessions may come until then."""
 EXIT_MARGIN_S = 0.8
 """The process ends by itself this long before the platform would kill it."""
-ACCEPT_BACKLOG = 512
-"""Callers of one VM that reconnect at once after a restart; beyond it opening packets are sent again a second later."""
 
 _log = logs.part("daemon")
 
@@ -54,9 +53,15 @@
 class Daemon:
     """Own all parts of one VM; everything runs on one asyncio loop."""
 
-    def __init__(self, checked: settings.SessionSettings):
-        """Create the parts; nothing is opened before ``run``."""
+    def __init__(self, checked: settings.SessionSettings, listening: socket.socket | None = None):
+        """Create the parts; nothing is opened before ``run``.
+
+        Args:
+            checked: The settings.
+            listening: Socket that callers connect to already, or None to open one.
+        """
         self.settings = checked
+        self._listening = listening
         self.timers = timers.TimerService()
         self.measures = measures.Measures()
         self.confirmation = confirmation.Confirmation(checked.bounds)
@@ -116,9 +121,9 @@
         self._servers: list[asyncio.Server] = []
 
     @classmethod
-    def from_config(cls, checked: settings.SessionSettings) -> "Daemon":
-        """Create a daemon from checked settings."""
-        return cls(checked)
+    def from_config(cls, checked: settings.SessionSettings, listening: socket.socket | None = None) -> "Daemon":
+        """Create a daemon from checked settings, on a socket for callers that is open already."""
+        return cls(checked, listening)
 
     @property
     def configuration(self) -> model.Configuration:
@@ -140,7 +145,7 @@
         self._watch_gauges()
         callers = self.settings.callers
         server = await asyncio.start_server(
-            self._accept, callers.host, callers.port, limit=lines.MAX_MESSAGE_BYTES, backlog=ACCEPT_BACKLOG
+            self._accept, sock=self._listening or callers.listen(), limit=lines.MAX_MESSAGE_BYTES
         )
         self._servers.append(server)
         _log.bind(callers=str(callers), readiness=str(self.settings.readiness)).info("listening")
--- a/src/currantlead/sessions/settings.py
+++ b/src/currantlead/sessions/settings.py
@@ -1,8 +1,12 @@
 """Settings of the session daemon: where it listens, where the store is, and the bounds that it has to keep."""
 
 import dataclasses
+import socket
 from collections.abc import Mapping
 
+ACCEPT_BACKLOG = 512
+"""Callers of one VM that reconnect at once after a restart; beyond it opening packets are sent again a second later."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Address:
@@ -14,6 +18,10 @@
     def __str__(self) -> str:
         return f"{self.host}:{self.port}"
 
+    def listen(self) -> socket.socket:
+        """Return a socket that accepts connections here; those that come before they are served wait in its queue."""
+        return socket.create_server((self.host, self.port), backlog=ACCEPT_BACKLOG)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Bounds:
