Ask for a sample before a first read, and keep those that other VMs' orders bring

After a restart of all VMs, reads went to the primaries, whose slots also open all connections; and holders kept no sample of the orders that they carried out.

--- a/src/currantlead/sessions/daemon.py
+++ b/src/currantlead/sessions/daemon.py
@@ -83,11 +83,14 @@
         self.connections = connections.Connections(
             checked.vm, self.fleet, self.shares, self.network, self.liveness, self.measures
         )
-        self.holder = holders.Holder(self.fleet, self.connections.direct_path)
+        self.holder = holders.Holder(self.fleet, self.samples, self.connections.direct_path)
         self.holder.register(self.network)
         self.gate = gate.Gate(
             lambda: self.configuration, self.confirmation, self.allowances, self.lender, self.measures
         )
+        self.sampler = sampling.Sampler(
+            self.fleet, self.samples, self.connections, self.network, lambda: not self.mirror.relayed
+        )
         self.executor = execution.Executor(
             self.fleet,
             self.samples,
@@ -95,9 +98,7 @@
             domain=checked.domain,
             region=checked.region_of.get(checked.domain, ""),
             measured=self.measures,
-        )
-        self.sampler = sampling.Sampler(
-            self.fleet, self.samples, self.connections, self.network, lambda: not self.mirror.relayed
+            fetch_sample=self.sampler.fetch,
         )
         self.mirror.share(self.sampler)
         self.succession = (
--- a/src/currantlead/sessions/execution.py
+++ b/src/currantlead/sessions/execution.py
@@ -1,6 +1,6 @@
 """Run callers' statements on instances: choose one, lend a connection, prove freshness, and say what came of it."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from currantlead import errors, logs
 from currantlead.sessions import (
@@ -43,8 +43,10 @@
         domain: str,
         region: str,
         measured: measures.Measures,
+        fetch_sample: Callable[[str], Awaitable[None]],
     ):
         self._measures = measured
+        self._fetch_sample = fetch_sample
         self._fleet = known
         self._samples = samples
         self._path_of = path_of
@@ -108,7 +110,13 @@
         lease.wrote = lease.wrote or _writes(context, statement)
         commits = statement.kind is statements.Kind.COMMIT
         order = _order(
-            context, request_id, statement, timeout_s=context.route.timeout_s, commits=commits and lease.wrote
+            context,
+            request_id,
+            statement,
+            timeout_s=context.route.timeout_s,
+            # The commit of a transaction that wrote nothing is answered by an instance that has lost the lead, too.
+            leads=lease.leads and not commits,
+            commits=commits and lease.wrote,
         )
         try:
             report = await lease.transaction.run(order)
@@ -118,8 +126,7 @@
         self._fleet.trust(instance_id)
         if commits and lease.wrote and report.reply.failure is None:
             self._fleet.note_write(instance_id, answered=True)
-        # Only the commit of a transaction that wrote nothing is answered by an instance that has lost the lead.
-        self._record(context, report.reply, proves_lead=lease.leads and (lease.wrote or not commits))
+        self._samples.record_report(context.route.service, order, report)
         return operations.Outcome.of(report.reply)
 
     async def _attempt(
@@ -146,6 +153,8 @@
         deadline = began_at + context.route.timeout_s
         most_s = min(context.route.target_s, context.route.timeout_s)
         hold_until = began_at + most_s * HOLD_SHARE
+        if not writes and self._lacks_sample(context):
+            await self._fetch_sample(context.route.service)
         tried: set[str] = set()
         last = operations.Outcome.refused(statements.Code.BUSY, "no instance")
         while True:
@@ -208,10 +217,7 @@
         self._fleet.trust(instance.id)
         if may_commit and report.reply.failure is None:
             self._fleet.note_write(instance.id, answered=True)
-        if report.opened is not None:
-            self._record(context, report.opened, proves_lead=target.after is None)
-        else:
-            self._record(context, report.reply, proves_lead=may_commit)
+        self._samples.record_report(context.route.service, order, report)
         lease = None if transaction is None else operations.Lease(transaction, leads=target.after is None)
         return operations.Outcome.of(report.reply), lease
 
@@ -263,6 +269,13 @@
             self._fleet.depose(instance.id)
         return True
 
+    def _lacks_sample(self, context: operations.Context) -> bool:
+        since = context.began_at - context.route.max_staleness_s
+        return (
+            context.route.consistency is not model.Consistency.PRIMARY
+            and self._samples.oldest_since(context.route.service, since) is None
+        )
+
     def _choose(
         self, context: operations.Context, writes: bool, tried: set[str], now: float
     ) -> operations.Target | None:
@@ -323,10 +336,6 @@
     def _allowed(self, context: operations.Context, known: fleet.Known) -> bool:
         return not context.regions or self._fleet.region(known) in context.regions
 
-    def _record(self, context: operations.Context, reply: statements.Reply, *, proves_lead: bool) -> None:
-        if proves_lead and reply.failure is None and reply.position is not None:
-            self._samples.record(context.route.service, reply.asked_at, reply.position)
-
 
 def _order(
     context: operations.Context,
@@ -336,6 +345,7 @@
     timeout_s: float,
     opening: orders.Opening = orders.Opening.NOTHING,
     after: model.Position | None = None,
+    leads: bool = False,
     commits: bool = False,
     discards: bool = False,
 ) -> orders.Order:
@@ -348,6 +358,7 @@
         shape=context.prepared[statement.name] if prepared else None,
         opening=opening,
         after=after,
+        leads=leads,
         commits=commits,
         discards=discards,
     )
--- a/src/currantlead/sessions/freshness.py
+++ b/src/currantlead/sessions/freshness.py
@@ -7,7 +7,7 @@
 import collections
 import dataclasses
 
-from currantlead.sessions import model
+from currantlead.sessions import model, orders
 
 KEEP_S = 10.0
 """Longer than any route's accepted age; older samples are never asked for."""
@@ -37,6 +37,12 @@
         while samples[0].asked_at < asked_at - KEEP_S:
             samples.popleft()
 
+    def record_report(self, service: str, order: orders.Order, report: orders.Report) -> None:
+        """Add the sample that an order brought, if its answer proves the lead."""
+        proof = report.sample(order)
+        if proof is not None:
+            self.record(service, proof.asked_at, proof.position)
+
     def newest(self, service: str) -> Sample | None:
         """Return the sample that was asked for last, or None."""
         samples = self._samples.get(service)
--- a/src/currantlead/sessions/holders.py
+++ b/src/currantlead/sessions/holders.py
@@ -12,7 +12,7 @@
 
 from currantlead import errors, logs
 from currantlead.peers import network
-from currantlead.sessions import clock, fleet, model, orders, paths, statements
+from currantlead.sessions import clock, fleet, freshness, model, orders, paths, statements
 
 RUN, CONTINUE, END = "run", "continue", "end"
 HELD_CONNECTIONS = 16
@@ -64,8 +64,14 @@
         leaving: Whether new orders are refused.
     """
 
-    def __init__(self, known: fleet.Fleet, path_of: Callable[[model.Instance], paths.DirectPath]):
+    def __init__(
+        self,
+        known: fleet.Fleet,
+        samples: freshness.Freshness,
+        path_of: Callable[[model.Instance], paths.DirectPath],
+    ):
         self._fleet = known
+        self._samples = samples
         self._path_of = path_of
         self._held: dict[int, _Held] = {}
         self._numbers = itertools.count(1)
@@ -106,6 +112,7 @@
             return _encode_lost(error)
         finally:
             self._running -= 1
+        self._samples.record_report(known.instance.service, order, report)
         number = None
         if transaction is not None:
             number = next(self._numbers)
@@ -119,14 +126,16 @@
         if held is None or held.vm != vm:
             return _encode_lost(errors.LinkLostError("the transaction was ended by its holder", sent=False))
         held.busy = True
+        order = decode_order(body["order"])
         try:
-            report = await held.transaction.run(decode_order(body["order"]))
+            report = await held.transaction.run(order)
         except errors.LinkLostError as error:
             await self._drop(number)
             return _encode_lost(error)
         finally:
             held.busy = False
             held.used_at = clock.now()
+        self._samples.record_report(held.transaction.instance.service, order, report)
         if report.reply.state is statements.TransactionState.IDLE:
             await self._drop(number)
             number = None
@@ -206,6 +215,7 @@
         None if order.shape is None else (order.shape[0], _to_bytes(order.shape[1])),
         order.opening.value,
         _encode_position(order.after),
+        order.leads,
         order.commits,
         order.discards,
     ]
@@ -213,7 +223,7 @@
 
 def decode_order(values: Sequence[Any]) -> orders.Order:
     """Return the order of plain values."""
-    request, text, session_values, timeout_s, shape, opening, after, commits, discards = values
+    request, text, session_values, timeout_s, shape, opening, after, leads, commits, discards = values
     return orders.Order(
         request=_to_text(request),
         text=_to_text(text),
@@ -222,6 +232,7 @@
         shape=None if shape is None else (shape[0], _to_text(shape[1])),
         opening=orders.Opening(opening),
         after=_decode_position(after),
+        leads=leads,
         commits=commits,
         discards=discards,
     )
--- a/src/currantlead/sessions/orders.py
+++ b/src/currantlead/sessions/orders.py
@@ -36,6 +36,7 @@
         shape: Whether the prepared statement writes, and its shape; None for other statements.
         opening: What is opened before the statement.
         after: Position that the instance's log must have, or None.
+        leads: Whether it runs inside a transaction whose statements only a leading instance answers.
         commits: Whether the statement is acknowledged only once a replica has it.
         discards: Whether the opened transaction is the proxy's own and is rolled back together with the statement.
     """
@@ -47,6 +48,7 @@
     shape: tuple[bool, str] | None = None
     opening: Opening = Opening.NOTHING
     after: model.Position | None = None
+    leads: bool = False
     commits: bool = False
     discards: bool = False
 
@@ -63,6 +65,13 @@
     reply: statements.Reply
     opened: statements.Reply | None = None
 
+    def sample(self, order: Order) -> statements.Reply | None:
+        """Return the answer that proves the lead and tells the primary's position, or None."""
+        proof = self.opened if order.opening is Opening.LEADS else self.reply
+        if order.opening is not Opening.LEADS and not (order.commits or order.leads):
+            return None
+        return proof if proof is not None and proof.failure is None and proof.position is not None else None
+
 
 async def perform(order: Order, lent: link.Conversation) -> Report:
     """Carry out an order on a connection that is in use for it alone.
--- a/src/currantlead/sessions/sampling.py
+++ b/src/currantlead/sessions/sampling.py
@@ -15,6 +15,11 @@
 SAMPLE = "sample"
 SAMPLE_S = 0.5
 """Interval of samples: routes accept data of 1.5 s and more, replicas are up to 0.4 s behind."""
+FETCH_WAIT_S = 0.08
+"""A read waits this long for a first sample: a round trip between regions and a busy holder. Without one it runs at the
+primary, which all reads of VMs that have just started would saturate."""
+FETCH_PAUSE_S = 0.2
+"""Time between two such questions for a service."""
 SAMPLE_TIMEOUT_S = 0.4
 """Two round trips between regions (50 ms) and the statements that are waiting for the primary."""
 OWN_REQUEST = "-"
@@ -48,6 +53,8 @@
         self._peers = peers
         self._is_asking = is_asking
         self._checks: dict[str, asyncio.Task[None]] = {}
+        self._fetches: dict[str, asyncio.Task[None]] = {}
+        self._fetched_at: dict[str, float] = {}
         peers.handler(SAMPLE)(self._answer)
 
     async def refresh(self) -> None:
@@ -55,6 +62,17 @@
         if self._is_asking():
             await asyncio.gather(*(self._refresh(service) for service in self._fleet.services()))
 
+    async def fetch(self, service: str) -> None:
+        """Get a sample of a service that this VM has none of; those who ask meanwhile share one question."""
+        task = self._fetches.get(service)
+        if task is None and clock.now() - self._fetched_at.get(service, float("-inf")) < FETCH_PAUSE_S:
+            return
+        if task is None:
+            self._fetched_at[service] = clock.now()
+            task = self._fetches[service] = asyncio.get_running_loop().create_task(self._refresh(service))
+            task.add_done_callback(lambda done: self._fetches.pop(service, None))
+        await asyncio.wait({task}, timeout=FETCH_WAIT_S)
+
     def encode(self, *, positions: bool) -> dict[str, Any]:
         """Return for other VMs which instances lacked a position, and with ``positions`` the newest samples."""
         now = clock.now()
@@ -134,6 +152,4 @@
         except (errors.PoolUnavailableError, errors.LinkRefusedError, errors.LinkLostError) as error:
             _log.bind(instance=instance.id).info("no sample: {}", error)
             return
-        opened = report.opened
-        if opened is not None and opened.failure is None and opened.position is not None:
-            self._samples.record(instance.service, opened.asked_at, opened.position)
+        self._samples.record_report(instance.service, order, report)
--- a/tests/test_holders.py
+++ b/tests/test_holders.py
@@ -67,6 +67,8 @@
             shape=(True, "sh\udcfd"),
             opening=orders.Opening.LEADS,
             after=model.Position(2, 7),
+            leads=True,
+            commits=True,
             discards=True,
         ),
     ],
--- a/tests/test_sampling.py
+++ b/tests/test_sampling.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from currantlead.sessions import clock, shares
+from currantlead.sessions import clock, model, orders, shares, statements
 from tests import session_bed
 
 
@@ -67,3 +67,50 @@
             sample.asked_at <= promoted_at or sample.position.term == 2
             for sample in vm.samples._samples.get("svc1", ())
         )
+
+
+async def test_first_read_of_a_vm_asks_for_a_sample_and_goes_to_a_replica(pair):
+    """The reads of VMs that have just started must not all fall on the primary."""
+    bed, first, second = pair
+    known = first.fleet.get("i-1").instance
+    holder = second if first.shares.holders(known) == [second.settings.vm] else first
+    other = first if holder is second else second
+    caller = await bed.caller("primary-db", at=holder)
+    await caller.query("WRITE a1 x")
+    other.samples._samples.clear()
+    reader = await bed.caller("own-db", at=other)
+    bed.service.runs.clear()
+    assert (await reader.query("READ a1"))[0] == "ROW x"
+    assert [run.text for run in bed.service.runs] == ["READ a1"]
+    assert age_s(other) < 1.5
+
+
+async def test_holder_learns_positions_from_orders_of_other_vms(pair):
+    """Samples that others ask a holder for need no statement of its own while there is traffic."""
+    bed, first, second = pair
+    known = first.fleet.get("i-1").instance
+    holder = second if first.shares.holders(known) == [second.settings.vm] else first
+    other = first if holder is second else second
+    caller = await bed.caller("primary-db", at=other)
+    await caller.query("WRITE a1 x")
+    sample = holder.samples.newest("svc1")
+    assert sample is not None and sample.position.number == 1
+
+
+@pytest.mark.parametrize(
+    ("order", "opened", "failed", "proves"),
+    [
+        ({"opening": orders.Opening.LEADS}, True, False, True),
+        ({"opening": orders.Opening.READS}, True, False, False),
+        ({"commits": True}, False, False, True),
+        ({"leads": True}, False, False, True),
+        ({"leads": True}, False, True, False),
+        ({}, False, False, False),
+    ],
+)
+def test_only_answers_that_prove_the_lead_are_samples(order, opened, failed, proves):
+    """A plain read is answered by a replaced primary, too; its position covers nothing."""
+    result = statements.Failure(statements.Code.READ_ONLY) if failed else statements.Done("x")
+    reply = statements.Reply((), result, statements.TransactionState.IDLE, model.Position(1, 2), 5.0)
+    report = orders.Report(reply, reply if opened else None)
+    assert (report.sample(orders.Order("id", "READ a1", {}, 0.5, **order)) is not None) == proves
