--- a/src/currantlead/sessions/mirror.py
+++ b/src/currantlead/sessions/mirror.py
@@ -126,9 +126,6 @@
                 copy.present.pop(name, None)
             self._note_change(copy)
             on_changed(present, removed)
-            if follower.kind == objects.MEMBERS:
-                # There may be a relay among them now.
-                self._wake.set()
 
         def confirmed(at: float) -> None:
             copy.confirmed_at = max(copy.confirmed_at, at)
--- a/src/currantlead/sessions/shared_state.py
+++ b/src/currantlead/sessions/shared_state.py
@@ -12,11 +12,6 @@
 STATE_WAIT_S = 20.0
 """Wait of the other watches; keep-alive probes end one that has fallen silent after 4 s."""
 
-MEMBERS_FIRST_S = 0.5
-"""Time between the first list of the members and their first watch: VMs that start together are entered by then."""
-FIRST_WATCH_S = 1.2
-"""The same for other kinds: a VM that finds a relay among the members by then makes no watch at all."""
-
 _log = logs.part("daemon")
 
 
@@ -70,20 +65,17 @@
                 lambda present, removed: self._list_configurations(present),
                 self._confirmation.confirm,
                 probes=True,
-                first_wait_s=FIRST_WATCH_S,
             )
         )
-        kinds = [
-            (objects.INSTANCES, self._list_instances, self._change_instances, FIRST_WATCH_S),
-            (objects.EVACUATIONS, self._list_evacuations, self._change_evacuations, FIRST_WATCH_S),
-            (objects.MEMBERS, self._list_members, self._change_members, MEMBERS_FIRST_S),
-        ]
+        copies.keep(store.Follower(objects.INSTANCES, STATE_WAIT_S, self._list_instances, self._change_instances))
+        copies.keep(store.Follower(objects.EVACUATIONS, STATE_WAIT_S, self._list_evacuations, self._change_evacuations))
+        copies.keep(store.Follower(objects.MEMBERS, STATE_WAIT_S, self._list_members, self._change_members))
         if self._succession is not None:
-            kinds.append(
-                (objects.DUTIES, self._list_duties, lambda present, removed: self._list_duties(present), FIRST_WATCH_S)
+            copies.keep(
+                store.Follower(
+                    objects.DUTIES, STATE_WAIT_S, self._list_duties, lambda present, removed: self._list_duties(present)
+                )
             )
-        for kind, on_listed, on_changed, first_wait_s in kinds:
-            copies.keep(store.Follower(kind, STATE_WAIT_S, on_listed, on_changed, first_wait_s=first_wait_s))
 
     def _list_configurations(self, present: tuple[objects.Stored, ...]) -> None:
         for stored in present:
--- a/src/currantlead/sessions/store.py
+++ b/src/currantlead/sessions/store.py
@@ -31,7 +31,6 @@
         on_changed: Takes the objects that changed and the names of those that were removed.
         on_confirmed: Takes a clock reading up to which the known state was the newest.
         probes: Whether it asks again and again during an outage; the others wait until it has got through.
-        first_wait_s: Time between the first list and the first watch, in seconds.
         revision: Revision to watch from, or None before the list was read.
     """
 
@@ -41,7 +40,6 @@
     on_changed: Callable[[tuple[objects.Stored, ...], tuple[str, ...]], None]
     on_confirmed: Callable[[float], None] = lambda at: None
     probes: bool = False
-    first_wait_s: float = 0.0
     revision: int | None = None
 
 
@@ -140,7 +138,6 @@
         client = http.HttpClient(self._address)
         pause_s, connected = RETRY_FIRST_S, True
         confirmed_at = clock.now()
-        first_wait_s = follower.first_wait_s
         while True:
             try:
                 if follower.revision is None:
@@ -154,9 +151,6 @@
                 pause_s, connected = RETRY_FIRST_S, True
                 if follower.probes:
                     self._available.set()
-                if first_wait_s:
-                    await asyncio.sleep(first_wait_s)
-                    first_wait_s = 0.0
             except (errors.HttpUnavailableError, errors.PlatformUnavailableError, errors.MalformedObjectError) as error:
                 if connected:
                     _log.bind(kind=follower.kind).warning("store lost: {}", error)
