Refuse orders that waited while their holder was stalled; take back the pause between watches of members

The holder had been paused with an order in its socket; its caller was told that the write is in doubt and wrote again, and on waking the holder ran the old one after the new one. A holder whose regular calls were late by 0.35 s now refuses the orders that it finds, as not run. Such a write may still be late on its way, which in doubt allows, so the soak compares places in the log in place of values. The soak now also withdraws a key and counts a rate.

Most of the calls at the start are the lists and first watches of each VM.

--- a/src/currantlead/sessions/daemon.py
+++ b/src/currantlead/sessions/daemon.py
@@ -160,6 +160,7 @@
     def _subscribe(self) -> None:
         """Let the parts be called regularly."""
         self.timers.subscribe("housekeeping", HOUSEKEEPING_S, self._housekeep)
+        self.timers.subscribe("stalls", liveness.CHECK_S, self.holder.note_time)
         self.timers.subscribe("silent VMs", liveness.CHECK_S, self.liveness.check_silent)
         self.timers.subscribe("silent instances", liveness.CHECK_S, self.connections.check_activity)
         self.timers.subscribe("registration", registration.CHECK_S, self.registration.check)
--- a/src/currantlead/sessions/holders.py
+++ b/src/currantlead/sessions/holders.py
@@ -17,6 +17,11 @@
 RUN, CONTINUE, END = "run", "continue", "end"
 HELD_CONNECTIONS = 16
 """Connections of one holder: enough that organisations, which are spread over the holders, find one of their own."""
+STALL_S = 0.35
+"""A holder whose regular calls are this late was suspended or starved; other VMs take it for dead after 0.5 s, and may
+have told callers that the orders which it finds then are lost."""
+AFTER_STALL_S = 0.1
+"""Time after a stall in which the frames that had arrived meanwhile are read."""
 IDLE_S = 6.0
 """A transaction that is idle for longer is rolled back: idle ones end after 3 s, so its caller's VM is gone."""
 
@@ -76,6 +81,8 @@
         self._held: dict[int, _Held] = {}
         self._numbers = itertools.count(1)
         self._running = 0
+        self._called_at = clock.now()
+        self._stalled_until = 0.0
         self.leaving = False
 
     def register(self, peers: network.Network) -> None:
@@ -89,11 +96,28 @@
         """Return the number of orders under way and of open transactions."""
         return len(self._held) + self._running
 
+    def note_time(self) -> None:
+        """Notice whether this VM was stalled; to be called every ``liveness.CHECK_S``."""
+        now = clock.now()
+        if now - self._called_at > STALL_S:
+            self._stalled_until = now + AFTER_STALL_S
+            _log.bind(seconds=round(now - self._called_at, 2)).warning(
+                "this VM was stalled, refusing orders that waited"
+            )
+        self._called_at = now
+
+    def _is_late(self) -> bool:
+        """Tell whether a frame may have waited while this VM was stalled."""
+        now = clock.now()
+        return now - self._called_at > STALL_S or now < self._stalled_until
+
     async def run(self, vm: str, body: dict[str, Any]) -> dict[str, Any]:
         """Carry out an order on a connection of the organisation; see ``decode_answer`` for the reply."""
         known = self._fleet.get(body["instance"])
         if self.leaving or known is None:
             return {"refused": "the holder is leaving" if self.leaving else "unknown instance", "leaving": self.leaving}
+        if self._is_late():
+            return {"refused": "the holder was stalled"}
         order = decode_order(body["order"])
         self._running += 1
         try:
@@ -125,6 +149,9 @@
         held = self._held.get(number)
         if held is None or held.vm != vm:
             return _encode_lost(errors.LinkLostError("the transaction was ended by its holder", sent=False))
+        if self._is_late():
+            await self._drop(number)
+            return _encode_lost(errors.LinkLostError("the holder was stalled", sent=False))
         held.busy = True
         order = decode_order(body["order"])
         try:
--- a/src/currantlead/sessions/paths.py
+++ b/src/currantlead/sessions/paths.py
@@ -16,6 +16,8 @@
 few milliseconds, and the longest statements take about 0.1 s."""
 COMMIT_S = 0.5
 """An instance whose commits take this long, while none succeeds, may have lost its replicas."""
+LATE_S = 0.1
+"""A wait that ended this much after its time was held up by a stall of this VM; the statement is not sent any more."""
 
 Check = Callable[[], statements.Failure | None]
 """Says why a statement must not be sent at this moment, or None."""
@@ -180,7 +182,11 @@
         self, organisation: str, order: orders.Order, *, priority: int, wait_s: float, check: Check
     ) -> tuple[orders.Report, Transaction | None]:
         """Run an order; see ``Path.run``."""
+        deadline = clock.now() + wait_s + LATE_S
         lent = await self.pool.acquire(organisation, order.values, priority=priority, timeout_s=wait_s)
+        if clock.now() > deadline:
+            self.pool.release(lent)
+            raise errors.PoolUnavailableError(f"a connection to {self.instance.id} came too late")
         refusal = check()
         if refusal is not None:
             self.pool.release(lent)
--- a/src/currantlead/sessions/shared_state.py
+++ b/src/currantlead/sessions/shared_state.py
@@ -11,9 +11,6 @@
 of it from a relay up to 0.6 s later."""
 STATE_WAIT_S = 20.0
 """Wait of the other watches; keep-alive probes end one that has fallen silent after 4 s."""
-MEMBERS_PAUSE_S = 0.25
-"""Time between two watches of the members after a change: VMs that start together enter themselves within 0.3 s, and a
-watch of each VM for each entry was half of all calls to the store on a quiet day."""
 
 _log = logs.part("daemon")
 
@@ -72,11 +69,7 @@
         )
         copies.keep(store.Follower(objects.INSTANCES, STATE_WAIT_S, self._list_instances, self._change_instances))
         copies.keep(store.Follower(objects.EVACUATIONS, STATE_WAIT_S, self._list_evacuations, self._change_evacuations))
-        copies.keep(
-            store.Follower(
-                objects.MEMBERS, STATE_WAIT_S, self._list_members, self._change_members, pause_s=MEMBERS_PAUSE_S
-            )
-        )
+        copies.keep(store.Follower(objects.MEMBERS, STATE_WAIT_S, self._list_members, self._change_members))
         if self._succession is not None:
             copies.keep(
                 store.Follower(
--- a/src/currantlead/sessions/store.py
+++ b/src/currantlead/sessions/store.py
@@ -31,7 +31,6 @@
         on_changed: Takes the objects that changed and the names of those that were removed.
         on_confirmed: Takes a clock reading up to which the known state was the newest.
         probes: Whether it asks again and again during an outage; the others wait until it has got through.
-        pause_s: Time between a change and the next watch, in seconds; changes that come together then need one call.
         revision: Revision to watch from, or None before the list was read.
     """
 
@@ -41,7 +40,6 @@
     on_changed: Callable[[tuple[objects.Stored, ...], tuple[str, ...]], None]
     on_confirmed: Callable[[float], None] = lambda at: None
     probes: bool = False
-    pause_s: float = 0.0
     revision: int | None = None
 
 
@@ -201,8 +199,6 @@
         follower.revision = page.revision
         if page.present or page.removed:
             follower.on_changed(page.present, page.removed)
-            if follower.pause_s:
-                await asyncio.sleep(follower.pause_s)
             return asked_at
         # An answer without events was made no earlier than the end of the wait that was asked for.
         waited = clock.now() - asked_at >= wait_s
--- a/tests/test_holders.py
+++ b/tests/test_holders.py
@@ -239,3 +239,44 @@
 
     monkeypatch.setitem(holder.network._handlers, holders.RUN, run_late)
     assert (await caller.query("WRITE a1 x"))[0].startswith("DONE i-1")
+
+
+async def test_order_that_waited_while_its_holder_was_stalled_is_refused(pair):
+    """The caller was told that it is in doubt, and may have written again (soak seeds 136 and 137)."""
+    bed, holder, borrower = pair
+    caller = await bed.caller(at=borrower)
+    await caller.query("WRITE a1 x")
+    holder.holder._called_at -= 2.0
+    answer = await holder.holder.run(
+        "vm-9",
+        {
+            "instance": "i-1",
+            "organisation": session_bed.ORGANISATION,
+            "priority": 0,
+            "wait_s": 0.1,
+            "order": holders.encode_order(orders.Order("late", "WRITE a1 old", {}, 0.5, commits=True)),
+        },
+    )
+    assert answer == {"refused": "the holder was stalled"}
+    assert [run.text for run in bed.service.runs] == ["WRITE a1 x"]
+
+
+async def test_transaction_that_waited_while_its_holder_was_stalled_is_rolled_back(pair):
+    """A commit that comes late must not take effect after its caller was told that it is in doubt."""
+    bed, holder, borrower = pair
+    caller = await bed.caller(at=borrower)
+    await caller.query("BEGIN")
+    await caller.query("WRITE a1 x")
+    holder.holder._called_at -= 2.0
+    assert (await caller.query("COMMIT"))[0].startswith("ERR ABORTED")
+    assert bed.service.log == [] and holder.holder.active == 0
+
+
+async def test_holder_works_again_after_a_stall(pair):
+    """Only what had waited is refused."""
+    bed, holder, borrower = pair
+    caller = await bed.caller(at=borrower)
+    holder.holder._called_at -= 2.0
+    holder.holder.note_time()
+    await asyncio.sleep(holders.AFTER_STALL_S + 0.05)
+    assert (await caller.query("WRITE a1 x"))[0].startswith("DONE i-1")
--- a/tools/users_demo.py
+++ b/tools/users_demo.py
@@ -4,7 +4,8 @@
 the instances and the other daemons through loopback proxies. Faults come at random times from the seed and overlap:
 daemons are killed, stopped and paused, connections are delayed, cut one way, silenced and reset, a primary falls
 silent, replicas lag, the store turns its callers away. With an odd seed the instances accept fewer connections than
-there are daemons, so that holders run the others' statements.
+there are daemons, so that holders run the others' statements. A second organisation sends more than its rate, and its
+key is withdrawn and given back.
 """
 
 import argparse
@@ -33,6 +34,15 @@
 """Pause between two statements of a session, in seconds."""
 FEW_CONNECTIONS = 3
 """Connections of an instance with an odd seed: fewer than daemons."""
+LIMITED = "dyers"
+LIMITED_KEY = "key-of-dyers"
+LIMITED_SESSIONS = 4
+LIMITED_RATE = 20.0
+"""Operations a second of the second organisation, and its burst; its sessions send about four times as many."""
+WINDOW_S, EXCESS, SLACK = 5.0, 0.1, 20.0
+"""Window over which operations are counted, and what it may hold beyond rate and burst: a part of them and a number."""
+REVOKED_S = 5.0
+"""A request that is sent later than this after its key was withdrawn must not run."""
 PROMISES = {"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "OVERLOAD"}
 """Codes that promise that nothing of the operation is kept."""
 _console = rich.console.Console(stderr=True)
@@ -72,11 +82,14 @@
     stale_reads: int = 0
     false_not_run: int = 0
     torn: int = 0
+    over_rate: int = 0
+    after_revocation: int = 0
     faults: list[str] = dataclasses.field(default_factory=list)
 
     def holds(self) -> bool:
         """Tell whether the logs agree with what callers were told."""
-        return not (self.lost or self.doubled or self.stale_reads or self.false_not_run or self.torn)
+        broken = (self.lost, self.doubled, self.stale_reads, self.false_not_run, self.torn)
+        return not any((*broken, self.over_rate, self.after_revocation))
 
 
 class Vm:
@@ -149,6 +162,7 @@
         self._acknowledged: list[tuple[str, str, str]] = []
         self._promised: set[str] = set()
         self._pairs: list[tuple[str, str]] = []
+        self._other_reads: list[tuple[str, str, str, str]] = []
         self._store = object_store.ObjectStore()
         self._connections = FEW_CONNECTIONS if seed % 2 else 16
         cap = FEW_CONNECTIONS if seed % 2 else 24
@@ -156,6 +170,9 @@
         self._proxies: dict[str, loopback_proxy.LoopbackProxy] = {}
         self._vms: list[Vm] = []
         self._ends_at = 0.0
+        self._version = 1
+        self._withdrawn: list[tuple[float, float]] = []
+        self._limited: list[tuple[float, str]] = []
 
     async def run(self) -> Result:
         """Start everything, play the load and the faults, and compare."""
@@ -163,8 +180,7 @@
         await self._service.start()
         self._store.promote = self._promote
         self._store.rewrite = self._lead_peers_through_proxy
-        services = [{"name": session_bed.SERVICE, "maxConns": self._connections, "syncReplicas": 1}]
-        self._store.put("config", "main", session_bed.configuration(services=services))
+        self._configure(limited_keys=[LIMITED_KEY])
         for name, instance in self._service.instances.items():
             await self._add_proxy(name, instance.port)
             self._register(name)
@@ -181,6 +197,7 @@
             sessions = [
                 self._session(number, random.Random(f"{self.result.seed}/{number}")) for number in range(SESSIONS)
             ]
+            sessions += [self._limited_session(number) for number in range(LIMITED_SESSIONS)]
             await asyncio.gather(self._faults(), *sessions)
         finally:
             for vm in self._vms:
@@ -192,6 +209,15 @@
         self._compare()
         return self.result
 
+    def _configure(self, *, limited_keys: list[str]) -> None:
+        """Write the next configuration."""
+        organisation = {"name": session_bed.ORGANISATION, "apiKeys": [session_bed.KEY], "ratePerS": 1e4, "burst": 1e4}
+        limited = {"name": LIMITED, "apiKeys": limited_keys, "ratePerS": LIMITED_RATE, "burst": LIMITED_RATE}
+        services = [{"name": session_bed.SERVICE, "maxConns": self._connections, "syncReplicas": 1}]
+        state = session_bed.configuration(self._version, services=services, tenants=[organisation, limited])
+        self._store.put("config", "main", state)
+        self._version += 1
+
     async def _add_proxy(self, name: str, target_port: int) -> int:
         """Put a proxy before a port and return the proxy's."""
         proxy = self._proxies[name] = loopback_proxy.LoopbackProxy(target_port)
@@ -246,11 +272,35 @@
                     caller.close()
                 caller = None
 
-    async def _connect(self, chance: random.Random) -> session_bed.Caller | None:
+    async def _limited_session(self, number: int) -> None:
+        """Write as fast as answers come, on behalf of the organisation with the low rate."""
+        chance = random.Random(f"{self.result.seed}/limited/{number}")
+        caller, sequence = None, 0
+        while time.monotonic() < self._ends_at:
+            await asyncio.sleep(0.05)
+            try:
+                if caller is None:
+                    caller = await self._connect(chance, LIMITED_KEY)
+                    continue
+                sequence += 1
+                request, sent_at = f"limited{number}x{sequence}", time.monotonic()
+                async with asyncio.timeout(4.0):
+                    answer = await caller.ask(f"QUERY {request} WRITE limited{number} v{sequence}")
+                if answer[0].startswith("DONE"):
+                    self._limited.append((sent_at, request))
+                elif answer[0].startswith("ERR NOAUTH"):
+                    caller.close()
+                    caller = None
+            except (OSError, TimeoutError, IndexError, asyncio.IncompleteReadError):
+                if caller is not None:
+                    caller.close()
+                caller = None
+
+    async def _connect(self, chance: random.Random, key: str = session_bed.KEY) -> session_bed.Caller | None:
         vm = chance.choice(self._vms)
         async with asyncio.timeout(1.0):
             caller = session_bed.Caller(*await asyncio.open_connection("127.0.0.1", vm.port))
-            answer = await caller.ask(f"START own-db {session_bed.KEY}")
+            answer = await caller.ask(f"START own-db {key}")
         return caller if answer == ["READY I -"] else None
 
     async def _write(
@@ -299,8 +349,7 @@
         if answer[0].startswith("ROW "):
             self.result.completed += 1
             if written is not None and answer[0] != f"ROW {written}":
-                self.result.stale_reads += 1
-                self.result.faults.append(f"stale read {request}: {answer[0]} instead of {written}")
+                self._other_reads.append((request, item, answer[0].removeprefix("ROW "), written))
         else:
             self.result.not_run += 1
 
@@ -374,9 +423,19 @@
         """Let the store turn callers away for a while."""
         fault = self._random.choice([429, 503, "reset", "lost"])
         self._store.fault = lambda method, path: fault
-        await asyncio.sleep(self._random.uniform(0.5, 5.0))
+        await asyncio.sleep(self._random.uniform(0.5, 8.0))
         self._store.fault = lambda method, path: None
 
+    async def withdraw_key(self) -> None:
+        """Withdraw the key of the second organisation, and give it back later."""
+        if self._withdrawn and self._withdrawn[-1][1] == float("inf"):
+            return
+        self._configure(limited_keys=[])
+        self._withdrawn.append((time.monotonic(), float("inf")))
+        await asyncio.sleep(self._random.uniform(6.0, 9.0))
+        self._withdrawn[-1] = self._withdrawn[-1][0], time.monotonic()
+        self._configure(limited_keys=[LIMITED_KEY])
+
     async def forget_history(self) -> None:
         """Drop the store's history."""
         self._store.forget_history()
@@ -392,6 +451,24 @@
     def _compare(self) -> None:
         """Compare the log with what callers were told."""
         committed = collections.Counter(request for commit in self._service.log for request, _, _ in commit.writes)
+        limited = [
+            commit.at for commit in self._service.log if any(name.startswith("limited") for name, _, _ in commit.writes)
+        ]
+        most = (LIMITED_RATE * WINDOW_S + LIMITED_RATE) * (1 + EXCESS) + SLACK
+        self.result.over_rate = sum(sum(start <= at < start + WINDOW_S for at in limited) > most for start in limited)
+        self.result.after_revocation = sum(
+            withdrawn_at + REVOKED_S < sent_at < given_back_at
+            for sent_at, _ in self._limited
+            for withdrawn_at, given_back_at in self._withdrawn
+        )
+        # A write in doubt may take effect after a later one of its session; what counts is their order in the log.
+        order = {
+            (item, data): place for place, commit in enumerate(self._service.log) for _, item, data in commit.writes
+        }
+        for request, item, found, written in self._other_reads:
+            if order.get((item, found), -1) < order.get((item, written), -1):
+                self.result.stale_reads += 1
+                self.result.faults.append(f"stale read {request}: {found} instead of {written}")
         self.result.torn = sum((first in committed) != (second in committed) for first, second in self._pairs)
         self.result.doubled = sum(count > 1 for count in committed.values())
         self.result.lost = sum(request not in committed for request, _, _ in self._acknowledged)
@@ -410,6 +487,7 @@
     "lag": Soak.lag,
     "lose_answers": Soak.lose_answers,
     "refuse_store": Soak.refuse_store,
+    "withdraw_key": Soak.withdraw_key,
     "forget_history": Soak.forget_history,
     "drain_primary": Soak.drain_primary,
 }
