Contain malformed frames of other VMs and faults in subscribers of the store

Cause: a relay's response was taken apart while it was applied. A field of another type raised out of Mirror.run, the task ended, and the VM neither polled a relay nor watched the store any more, so that it refused every keyed request 3.8 s later. An unexpected error in a subscriber ended Store.follow in the same way. A negative or NaN age in a response confirmed the configuration, or dated a position sample, in the future: a withdrawn key would have worked on.

Change: responses of relays and holders are decoded completely before anything is applied; ages must not be negative. Faults in subscribers are logged with their cause, and the list is read again. An unexpected error while a statement runs is logged and ends its session only. A malformed response of a holder leaves the order in doubt.

--- a/src/currantlead/sessions/fleet.py
+++ b/src/currantlead/sessions/fleet.py
@@ -294,7 +294,7 @@
         """Return the lagging instances with the position that each lacked and how many seconds ago that was."""
         now = clock.now()
         return {
-            name: (tracked.lagging[0], LAGGING_DURATION_S - (tracked.lagging[1] - now))
+            name: (tracked.lagging[0], max(0.0, LAGGING_DURATION_S - (tracked.lagging[1] - now)))
             for name, tracked in self._instances.items()
             if tracked.lagging is not None and now < tracked.lagging[1]
         }
--- a/src/currantlead/sessions/holders.py
+++ b/src/currantlead/sessions/holders.py
@@ -221,18 +221,25 @@
         errors.PoolUnavailableError: The holder had no free connection, or refused the order.
         errors.LinkRefusedError: The instance cannot be reached from the holder.
         errors.LinkLostError: The connection to the instance was lost.
+        errors.HolderLostError: The response is malformed; the order may have run.
     """
-    if "lost" in response:
-        raise errors.LinkLostError(response["lost"], sent=response["sent"], timed_out=response["timed_out"])
-    if response.get("unreachable"):
-        raise errors.LinkRefusedError(response["refused"], overloaded=False)
-    if "refused" in response:
-        raise errors.PoolUnavailableError(response["refused"])
-    reply, begin_reply = response["report"]
-    report = orders.Report(
-        _decode_reply(reply, asked_at), _decode_reply(begin_reply, asked_at) if begin_reply is not None else None
-    )
-    return HolderResponse(report, response["transaction"])
+    try:
+        if "lost" in response:
+            raise errors.LinkLostError(response["lost"], sent=response["sent"], timed_out=response["timed_out"])
+        if response.get("unreachable"):
+            raise errors.LinkRefusedError(response["refused"], overloaded=False)
+        if "refused" in response:
+            raise errors.PoolUnavailableError(response["refused"])
+        reply, begin_reply = response["report"]
+        report = orders.Report(
+            _decode_reply(reply, asked_at), _decode_reply(begin_reply, asked_at) if begin_reply is not None else None
+        )
+        transaction = response["transaction"]
+        if transaction is not None and not isinstance(transaction, int):
+            raise TypeError(f"transaction {transaction!r}")
+        return HolderResponse(report, transaction)
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        raise errors.HolderLostError(f"the holder sent a malformed response: {error!r}", sent=True) from error
 
 
 def _encode_lost(error: errors.LinkLostError) -> dict[str, Any]:
--- a/src/currantlead/sessions/mirror.py
+++ b/src/currantlead/sessions/mirror.py
@@ -72,6 +72,43 @@
         return max((stored.revision for stored in (self.objects_by_name or {}).values()), default=0)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _RelayedCopy:
+    """Copy of one kind of objects in a relay's response.
+
+    Attributes:
+        version: The relay's version of the copy.
+        age_s: Seconds since the relay last confirmed it.
+        present: The objects, or None if the receiver already has this version.
+    """
+
+    version: str
+    age_s: float
+    present: tuple[objects.StoredObject, ...] | None
+
+
+def _decode_relayed(kind: str, entry: Any) -> _RelayedCopy:
+    """Decode one kind of objects in a relay's response.
+
+    Raises:
+        errors.MalformedObjectError: The entry is malformed, or its age is negative.
+    """
+    try:
+        version, age_s, encoded = entry
+        # A negative age would confirm the configuration for a time that has not come yet; NaN fails the check too.
+        if not isinstance(version, str) or not age_s >= 0.0:
+            raise ValueError(f"version {version!r}, age {age_s!r}")
+        present = None
+        if encoded is not None:
+            present = tuple(
+                objects.StoredObject(str(name), int(revision), value)
+                for name, revision, value in json.loads(zlib.decompress(encoded))
+            )
+    except (TypeError, ValueError, zlib.error) as error:
+        raise errors.MalformedObjectError(f"copy of {kind} from a relay is malformed: {error!r}") from error
+    return _RelayedCopy(version, float(age_s), present)
+
+
 class Mirror:
     """Keep local copies of the store's objects and serve them to other VMs of the failure domain.
 
@@ -151,7 +188,12 @@
         try:
             while True:
                 self._relay_changed.clear()
-                relay = await self._poll_relays()
+                try:
+                    relay = await self._poll_relays()
+                except Exception as error:
+                    # Without this task the VM would neither use a relay nor watch the store.
+                    _log.opt(exception=error).error("applying a relay's copies failed, watching the store")
+                    relay = ""
                 self._select_source(relay)
                 try:
                     async with asyncio.timeout(POLL_INTERVAL_S):
@@ -209,26 +251,27 @@
         return ""
 
     def _apply_response(self, response: dict[str, Any], requested_at: float) -> bool:
-        """Apply a relay's copies if they are complete and fresh; return whether they are."""
+        """Apply a relay's copies if they are complete and fresh; return whether they are.
+
+        Raises:
+            errors.MalformedObjectError: The response is malformed; nothing was applied.
+        """
         if any(kind not in response for kind in self._copies):
             return False
-        if any(requested_at - response[kind][1] < clock.now() - MAX_RELAY_AGE_S for kind in self._probing_kinds()):
+        relayed = {kind: _decode_relayed(kind, response[kind]) for kind in self._copies}
+        if any(requested_at - relayed[kind].age_s < clock.now() - MAX_RELAY_AGE_S for kind in self._probing_kinds()):
             return False
-        decoded = {}
         for kind, copy in self._copies.items():
-            entries = response[kind][2]
-            if entries is not None:
-                decoded[kind] = tuple(objects.StoredObject(*entry) for entry in json.loads(zlib.decompress(entries)))
-                if max((stored.revision for stored in decoded[kind]), default=0) < copy.newest_revision:
-                    return False
+            present = relayed[kind].present
+            if present is not None and max((item.revision for item in present), default=0) < copy.newest_revision:
+                return False
         for kind, copy in self._copies.items():
-            version, age_s, _ = response[kind]
-            if kind in decoded:
-                copy.follower.on_listed(decoded[kind])
-            copy.relay_version = version
+            if relayed[kind].present is not None:
+                copy.follower.on_listed(relayed[kind].present)
+            copy.relay_version = relayed[kind].version
             # The response doesn't include the relay's watch revision, so a direct watch starts with a new list.
             copy.follower.revision = None
-            copy.follower.on_confirmed(requested_at - age_s)
+            copy.follower.on_confirmed(requested_at - relayed[kind].age_s)
         if self._sampler is not None:
             self._sampler.merge(response.get(SAMPLES, {}), requested_at)
         return True
@@ -268,7 +311,7 @@
             entries = None
             if known_version != version:
                 entries = copy.encode()
-            response[kind] = [version, now - copy.confirmed_at, entries]
+            response[kind] = [version, max(0.0, now - copy.confirmed_at), entries]
         if self._sampler is not None:
             self._sampler.merge(body.get(SAMPLES, {}), now)
             response[SAMPLES] = self._sampler.encode_state(include_positions=True)
--- a/src/currantlead/sessions/sampling.py
+++ b/src/currantlead/sessions/sampling.py
@@ -101,11 +101,19 @@
         """Record another VM's samples and lagging instances.
 
         Their ages are relative to ``asked_at``, the clock reading at which that VM was asked or its message arrived.
+
+        A malformed message is logged and ignored.
         """
-        for service, (term, number, age_s) in message.get("positions", {}).items():
-            self._samples.record(service, asked_at - age_s, model.Position(term, number))
-        for instance_id, (term, number, age_s) in message.get("behind", {}).items():
-            self._fleet.mark_lagging(instance_id, model.Position(term, number), age_s)
+        try:
+            positions = _decode_entries(message.get("positions", {}))
+            lagging = _decode_entries(message.get("behind", {}))
+        except (AttributeError, errors.MalformedObjectError) as error:
+            _log.warning("ignoring malformed samples of another VM: {!r}", error)
+            return
+        for service, (position, age_s) in positions.items():
+            self._samples.record(service, asked_at - age_s, position)
+        for instance_id, (position, age_s) in lagging.items():
+            self._fleet.mark_lagging(instance_id, position, age_s)
 
     async def _refresh_service(self, service: str) -> None:
         primary = self._fleet.primary(service)
@@ -169,3 +177,21 @@
             _log.bind(instance=instance.id).info("sampling the position of the instance failed: {}", error)
             return
         self._samples.record_report(instance.service, order, report)
+
+
+def _decode_entries(entries: Any) -> dict[str, tuple[model.Position, float]]:
+    """Decode positions with their ages in seconds, by service or instance.
+
+    Raises:
+        errors.MalformedObjectError: An entry is malformed, or its age is negative.
+    """
+    decoded = {}
+    try:
+        for name, (term, number, age_s) in entries.items():
+            # A sample from the future would cover commits that its position lacks; NaN fails the check too.
+            if not age_s >= 0.0:
+                raise ValueError(f"age {age_s!r}")
+            decoded[str(name)] = model.Position(int(term), int(number)), float(age_s)
+    except (AttributeError, TypeError, ValueError, OverflowError) as error:
+        raise errors.MalformedObjectError(f"another VM sent malformed samples: {error!r}") from error
+    return decoded
--- a/src/currantlead/sessions/session.py
+++ b/src/currantlead/sessions/session.py
@@ -87,6 +87,11 @@
                     await self._process_next_message()
         except (OSError, asyncio.IncompleteReadError) as error:
             _log.debug("caller disconnected: {!r}", error)
+        except Exception as error:
+            # Ends this session only; its caller must take the last statement as in doubt.
+            _log.bind(database=self._identity.database, organisation=self._identity.organisation).opt(
+                exception=error
+            ).error("unexpected error, closing the session")
         finally:
             await self._end_transaction()
             self._writer.close()
--- a/src/currantlead/sessions/store.py
+++ b/src/currantlead/sessions/store.py
@@ -17,6 +17,7 @@
 MIN_WATCH_S = 0.05
 """Minimum duration of a watch. Shorter ones only cause more calls, without confirming the state noticeably sooner."""
 
+_EXPECTED_ERRORS = (errors.HttpUnavailableError, errors.PlatformUnavailableError, errors.MalformedObjectError)
 _log = logs.part("store")
 
 
@@ -168,11 +169,15 @@
                 retry_delay_s, connected = RETRY_INITIAL_S, True
                 if follower.retries_during_outage:
                     self._available.set()
-            except (errors.HttpUnavailableError, errors.PlatformUnavailableError, errors.MalformedObjectError) as error:
-                if connected:
+            except Exception as error:
+                expected = isinstance(error, _EXPECTED_ERRORS)
+                if not expected:
+                    # A fault in one subscriber must not end the watch, on which the whole VM depends.
+                    _log.bind(kind=follower.kind).opt(exception=error).error("applying a change failed, retrying")
+                elif connected:
                     _log.bind(kind=follower.kind).warning("listing or watching failed, retrying: {}", error)
                 connected, follower.revision = False, None
-                if follower.retries_during_outage:
+                if follower.retries_during_outage and expected:
                     self._available.clear()
                 await asyncio.sleep(retry_delay_s)
                 retry_delay_s = min(RETRY_MAX_S, retry_delay_s * 2)
--- a/tests/test_holders.py
+++ b/tests/test_holders.py
@@ -3,7 +3,10 @@
 import asyncio
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
+from currantlead import errors
 from currantlead.peers import frames
 from currantlead.sessions import connection_limits, forwarding, holders, liveness, model, orders, statements
 from tests import session_bed
@@ -283,3 +286,25 @@
     holder.holder.detect_stall()
     await asyncio.sleep(holders.STALL_RECOVERY_S + 0.05)
     assert (await caller.query("WRITE a1 x"))[0].startswith("DONE i-1")
+
+
+@given(
+    st.dictionaries(
+        st.sampled_from(["report", "transaction", "lost", "sent", "timed_out", "refused", "unreachable"]),
+        st.recursive(
+            st.none() | st.booleans() | st.integers() | st.text(max_size=4) | st.binary(max_size=4),
+            lambda inner: st.lists(inner, max_size=5),
+            max_leaves=8,
+        ),
+    )
+)
+def test_malformed_response_of_a_holder_property(response):
+    """A malformed response leaves the order in doubt instead of ending the caller's session with an unexpected error."""
+    try:
+        decoded = holders.decode_response(response, 1.0)
+    except errors.HolderLostError as error:
+        assert error.sent
+    except (errors.LinkLostError, errors.LinkRefusedError, errors.PoolUnavailableError):
+        assert {"lost", "refused"} & set(response)
+    else:
+        assert decoded.transaction is None or isinstance(decoded.transaction, int)
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -1,11 +1,16 @@
 """Local copies of the store's objects, which the VMs of a failure domain read through a relay."""
 
 import asyncio
+import contextlib
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
+from currantlead import errors
+from currantlead.peers import network
 from currantlead.platform import objects
-from currantlead.sessions import clock, mirror
+from currantlead.sessions import clock, members, mirror, model, store
 from tests import session_bed
 
 
@@ -124,3 +129,64 @@
     await wait_until(lambda: relayed.configuration.version == 5)
     assert not relayed.mirror._apply_response(older_response, clock.now())
     assert relayed.configuration.version == 5
+
+
+@given(
+    st.dictionaries(
+        st.sampled_from(["config", "servers", "evacuations", "members", "duties", "samples"]),
+        st.recursive(
+            st.none() | st.integers() | st.floats() | st.text(max_size=4) | st.binary(max_size=8),
+            lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(max_size=4), inner, max_size=3),
+            max_leaves=6,
+        ),
+    )
+)
+def test_malformed_response_of_a_relay_property(response):
+    """A relay's response with any content is refused as malformed or incomplete, and confirms nothing."""
+    own = model.Member("vm-1", "127.0.0.1", 1, "z1")
+    peers = network.Network("vm-1", "z1")
+    polled = mirror.Mirror(None, peers, None, members.Members(own))
+    confirmed = []
+    for kind in ("config", "servers", "evacuations", "members", "duties"):
+        polled.add_follower(
+            store.Follower(kind, 1.0, lambda present: None, lambda present, removed: None, confirmed.append)
+        )
+    with contextlib.suppress(errors.MalformedObjectError):
+        assert not polled._apply_response(response, clock.now())
+    assert confirmed == []
+
+
+@pytest.mark.parametrize("age_s", [-60.0, float("nan")])
+async def test_age_from_the_future_confirms_nothing(three_vms, age_s):
+    """A withdrawn key would work on if a relay's response could confirm the configuration for a later time."""
+    _, relay, relayed, _ = three_vms
+    response = relay.mirror._handle_poll("vm-9", dict.fromkeys(relayed.mirror._copies))
+    response["config"][1] = age_s
+    with pytest.raises(errors.MalformedObjectError):
+        relayed.mirror._apply_response(response, clock.now())
+
+
+async def test_relay_with_malformed_responses_is_skipped(three_vms, monkeypatch):
+    """One malformed message must not end the task that keeps the copies: the VM watches the store instead."""
+    bed, relay, relayed, _ = three_vms
+    monkeypatch.setitem(relay.network._handlers, mirror.POLL, lambda vm, body: dict.fromkeys([*body, "samples"], [7]))
+    await wait_until(lambda: not relayed.mirror.uses_relay)
+    bed.store.put("config", "main", session_bed.configuration(8))
+    await wait_until(lambda: relayed.configuration.version == 8)
+    assert relayed.configuration_age.age_s(clock.now()) < mirror.MAX_RELAY_AGE_S
+
+
+async def test_fault_while_applying_a_copy_does_not_end_the_polls(three_vms, monkeypatch):
+    """An unexpected error in a component that receives a copy leaves the VM with its own watch, and with later polls."""
+    bed, _, relayed, _ = three_vms
+    apply_response = relayed.mirror._apply_response
+
+    def fail(response, requested_at):
+        raise RuntimeError("fault of a component")
+
+    monkeypatch.setattr(relayed.mirror, "_apply_response", fail)
+    await wait_until(lambda: not relayed.mirror.uses_relay)
+    bed.store.put("config", "main", session_bed.configuration(9))
+    await wait_until(lambda: relayed.configuration.version == 9)
+    monkeypatch.setattr(relayed.mirror, "_apply_response", apply_response)
+    await wait_until(lambda: relayed.mirror.uses_relay)
--- a/tests/test_sampling.py
+++ b/tests/test_sampling.py
@@ -114,3 +114,24 @@
     reply = statements.Reply((), result, statements.TransactionState.IDLE, model.Position(1, 2), 5.0)
     report = orders.Report(reply, reply if opened else None)
     assert (report.primary_proof(orders.Order("id", "READ a1", {}, 0.5, **order)) is not None) == proves
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        {"positions": {"svc1": [9, 9, -30.0]}},
+        {"positions": {"svc1": [9, 9, float("nan")]}},
+        {"positions": {"svc1": [9, 9]}},
+        {"positions": {"svc1": "9.9"}},
+        {"positions": [9, 9, 0.1]},
+        {"positions": {"svc1": [9, 9, 0.1]}, "behind": {"i-2": [1, None, 0.1]}},
+        "no map",
+    ],
+)
+async def test_malformed_samples_are_ignored(pair, message):
+    """A sample from the future would cover commits that its position lacks; a malformed one must end no task."""
+    _, first, _ = pair
+    before = first.position_samples.latest("svc1")
+    first.sampler.merge(message, clock.now())
+    after = first.position_samples.latest("svc1")
+    assert after is before or after.position.term != 9
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -335,3 +335,19 @@
     await other.query("BEGIN")
     await other.query("READ a1")
     assert bed.daemon.fleet.get("i-1").stuck_since is not None
+
+
+async def test_unexpected_error_ends_only_its_session(bed, monkeypatch):
+    """A fault while one statement runs closes that session without an answer; all others go on."""
+    caller, other = await bed.caller(), await bed.caller()
+    run_autocommit = bed.daemon.executor.run_autocommit
+
+    async def fail(context, request_id, statement):
+        if "a1" in statement.text:
+            raise RuntimeError("fault of a component")
+        return await run_autocommit(context, request_id, statement)
+
+    monkeypatch.setattr(bed.daemon.executor, "run_autocommit", fail)
+    assert await caller.query("WRITE a1 x") == []
+    assert (await other.query("WRITE a2 y"))[0].startswith("DONE i-1")
+    assert len(bed.daemon.sessions) == 1
--- a/tests/test_store_follow.py
+++ b/tests/test_store_follow.py
@@ -17,6 +17,7 @@
         self.names = set()
         self.lists = 0
         self.confirmed = []
+        self.fault = None
 
     def listed(self, present):
         """Record a list."""
@@ -24,7 +25,10 @@
         self.names = {item.name for item in present}
 
     def changed(self, present, removed):
-        """Record changes."""
+        """Record changes, or raise ``fault`` once."""
+        if self.fault is not None:
+            fault, self.fault = self.fault, None
+            raise fault
         self.names |= {item.name for item in present}
         self.names -= set(removed)
 
@@ -162,3 +166,16 @@
     with pytest.raises(errors.PlatformUnavailableError):
         await client.read("duties", "svc")
     await store_server.stop()
+
+
+async def test_fault_in_a_subscriber_does_not_end_the_watch(store_and_callbacks):
+    """An unexpected error while a change is applied must not leave the VM without its watch."""
+    store_server, callbacks = store_and_callbacks
+    callbacks.fault = RuntimeError("fault of a subscriber")
+    store_server.put(objects.CONFIGURATION, "first", {})
+    await asyncio.sleep(0.1)
+    assert callbacks.fault is None
+    store_server.put(objects.CONFIGURATION, "second", {})
+    await asyncio.sleep(0.6)
+    assert callbacks.names == {"main", "first", "second"}
+    assert callbacks.age_s < 0.6
