--- a/tests/test_holders.py
+++ b/tests/test_holders.py
@@ -299,7 +299,7 @@
     )
 )
 def test_malformed_response_of_a_holder_property(response):
-    """A malformed response leaves the order in doubt instead of ending the caller's session with an unexpected error."""
+    """A malformed response leaves the order in doubt, and ends no session with an unexpected error."""
     try:
         decoded = holders.decode_response(response, 1.0)
     except errors.HolderLostError as error:
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -169,7 +169,7 @@
 async def test_relay_with_malformed_responses_is_skipped(three_vms, monkeypatch):
     """One malformed message must not end the task that keeps the copies: the VM watches the store instead."""
     bed, relay, relayed, _ = three_vms
-    monkeypatch.setitem(relay.network._handlers, mirror.POLL, lambda vm, body: dict.fromkeys([*body, "samples"], [7]))
+    monkeypatch.setitem(relay.network._handlers, mirror.POLL, lambda vm, body: {key: [7] for key in [*body, "samples"]})
     await wait_until(lambda: not relayed.mirror.uses_relay)
     bed.store.put("config", "main", session_bed.configuration(8))
     await wait_until(lambda: relayed.configuration.version == 8)
@@ -177,7 +177,7 @@
 
 
 async def test_fault_while_applying_a_copy_does_not_end_the_polls(three_vms, monkeypatch):
-    """An unexpected error in a component that receives a copy leaves the VM with its own watch, and with later polls."""
+    """After an unexpected error in a component that receives a copy, the VM watches the store, and polls again later."""
     bed, _, relayed, _ = three_vms
     apply_response = relayed.mirror._apply_response
 
