Reload the settings file while a session VM runs

Cause: SIGHUP was logged and ignored, and a file changed without a signal was noticed only at the next start, so bounds that the platform lowers held late.

No session notices.

--- a/src/currantlead/sessions/__main__.py
+++ b/src/currantlead/sessions/__main__.py
@@ -30,19 +30,23 @@
         return 2
     path = os.environ.get(settings_file.PATH_VARIABLE, "")
     try:
-        metrics_port = int(os.environ.get(settings_file.METRICS_PORT_VARIABLE, settings_file.METRICS_PORT))
-        with open(path, encoding="utf-8") as file:
-            config = settings_file.parse(file.read(), metrics_port)
+        config = _load_settings(path)
         listening_socket = config.callers.listen()
     except (errors.SettingsError, OSError, ValueError) as error:
         for fault in getattr(error, "faults", [str(error)]):
             sys.stderr.write(f"error: {path}: {fault}\n")
         return 2
-    _serve(config, listening_socket, level)
+    _serve(config, listening_socket, level, path)
     return 0
 
 
-def _serve(config: settings.SessionSettings, listening_socket: socket.socket, level: str) -> None:
+def _load_settings(path: str) -> settings.SessionSettings:
+    metrics_port = int(os.environ.get(settings_file.METRICS_PORT_VARIABLE, settings_file.METRICS_PORT))
+    with open(path, encoding="utf-8") as file:
+        return settings_file.parse(file.read(), metrics_port)
+
+
+def _serve(config: settings.SessionSettings, listening_socket: socket.socket, level: str, path: str) -> None:
     # Imported only now, so that callers can connect meanwhile: these modules take four fifths of the start-up time.
     import asyncio
 
@@ -51,7 +55,11 @@
 
     output = logs.RateLimitedOutput(sys.stdout.fileno(), LOG_LINES_PER_S, RATE_LIMIT_EXEMPT)
     logs.configure(level=level, json_lines=True, vm=config.vm, buffered=True, output=output)
-    asyncio.run(daemon.Daemon.from_config(config, listening_socket).run())
+    asyncio.run(
+        daemon.Daemon.from_config(
+            config, listening_socket, settings_path=path, load_settings=lambda: _load_settings(path)
+        ).run()
+    )
     logs.flush()
 
 
--- a/src/currantlead/sessions/configuration_age.py
+++ b/src/currantlead/sessions/configuration_age.py
@@ -13,9 +13,13 @@
     """Track when the configuration was last confirmed, and decide whether requests with a key may run."""
 
     def __init__(self, bounds: settings.Bounds):
+        self._confirmed_at: float | None = None
+        self.apply_bounds(bounds)
+
+    def apply_bounds(self, bounds: settings.Bounds) -> None:
+        """Apply the bound within which a revoked key must be rejected."""
         self._key_age_limit_s = bounds.revocation_s - WATCH_STALENESS_MARGIN_S
         self._new_session_age_limit_s = bounds.revocation_s * NEW_SESSION_AGE_FRACTION
-        self._confirmed_at: float | None = None
 
     def confirm(self, at: float) -> None:
         """Record that the known configuration was the store's current version at a clock reading."""
--- a/src/currantlead/sessions/daemon.py
+++ b/src/currantlead/sessions/daemon.py
@@ -4,6 +4,7 @@
 import functools
 import signal
 import socket
+from collections.abc import Callable
 
 from currantlead import logs, timers
 from currantlead.peers import identity, network
@@ -30,6 +31,7 @@
     sampling,
     session,
     settings,
+    settings_reload,
     shared_state,
     store,
     succession,
@@ -54,14 +56,28 @@
 class Daemon:
     """Own all components of one VM; everything runs on a single asyncio event loop."""
 
-    def __init__(self, config: settings.SessionSettings, listening_socket: socket.socket | None = None):
+    def __init__(
+        self,
+        config: settings.SessionSettings,
+        listening_socket: socket.socket | None = None,
+        *,
+        settings_path: str = "",
+        load_settings: Callable[[], settings.SessionSettings] | None = None,
+    ):
         """Create the components; ``run`` opens sockets and connections.
 
         Args:
             config: The settings of this VM.
             listening_socket: Listening socket for callers, or None to open one.
+            settings_path: Path of the settings file.
+            load_settings: Reads the settings file again; None if the settings come from elsewhere.
         """
         self.settings = config
+        self.settings_reload = (
+            settings_reload.SettingsReload(config, settings_path, load_settings, self._apply_settings)
+            if load_settings is not None
+            else None
+        )
         self._listening_socket = listening_socket
         self.timers = timers.TimerService()
         self.metrics = metric_registry.MetricRegistry()
@@ -133,9 +149,16 @@
         self._servers: list[asyncio.Server] = []
 
     @classmethod
-    def from_config(cls, config: settings.SessionSettings, listening_socket: socket.socket | None = None) -> "Daemon":
-        """Create a daemon from settings, optionally with a listening socket for callers."""
-        return cls(config, listening_socket)
+    def from_config(
+        cls,
+        config: settings.SessionSettings,
+        listening_socket: socket.socket | None = None,
+        *,
+        settings_path: str = "",
+        load_settings: Callable[[], settings.SessionSettings] | None = None,
+    ) -> "Daemon":
+        """Create a daemon from settings; see the class for the arguments."""
+        return cls(config, listening_socket, settings_path=settings_path, load_settings=load_settings)
 
     @property
     def configuration(self) -> model.Configuration:
@@ -148,9 +171,7 @@
         loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, stop.set)
-        loop.add_signal_handler(
-            signal.SIGHUP, lambda: _log.info("ignoring SIGHUP: the settings file is read only at start")
-        )
+        loop.add_signal_handler(signal.SIGHUP, self._handle_hangup)
         await self.token_exchange.start(self.settings.peers)
         await self.network.start()
         http_endpoints = readiness.ReadinessServer(self.is_ready, self.metrics.render, METRICS_PATH)
@@ -179,6 +200,8 @@
         self.timers.subscribe("registration", registration.CHECK_INTERVAL_S, self.registration.check)
         self.timers.subscribe("member eviction", eviction.CHECK_INTERVAL_S, self.evictor.check)
         self.timers.subscribe("samples", sampling.SAMPLE_INTERVAL_S, self.sampler.refresh)
+        if self.settings_reload is not None:
+            self.timers.subscribe("settings", settings_reload.CHECK_INTERVAL_S, self.settings_reload.check)
         if self.failover is not None:
             self.timers.subscribe("succession", succession.CHECK_INTERVAL_S, self.failover.check)
         self.timers.subscribe("log flush", LOG_FLUSH_INTERVAL_S, logs.flush)
@@ -218,6 +241,19 @@
             and self.configuration_age.allows_new_sessions(clock.now())
         )
 
+    def _handle_hangup(self) -> None:
+        if self.settings_reload is not None:
+            self.settings_reload.reload("SIGHUP")
+
+    def _apply_settings(self, loaded: settings.SessionSettings) -> None:
+        """Put reloaded settings in force."""
+        self.settings = loaded
+        self.configuration_age.apply_bounds(loaded.bounds)
+        self.fleet.apply_settings(loaded.bounds, loaded.region_of)
+        self.executor.region = loaded.region_of.get(loaded.domain, "")
+        self.token_buckets.apply_bounds(loaded.bounds)
+        self._handle_limits_changed()
+
     def _handle_limits_changed(self) -> None:
         """Apply changed members or configuration: update peers and divide rates and connections among the members."""
         self.liveness.retain(set(self.members.names()))
--- a/src/currantlead/sessions/execution.py
+++ b/src/currantlead/sessions/execution.py
@@ -39,9 +39,12 @@
         samples: Samples of the primaries' positions.
         path_of: Returns the path to an instance.
         domain: Failure domain of this VM.
-        region: Region of this VM.
+        region: Initial value of the attribute.
         metrics: Metrics of this VM.
         fetch_sample: Fetches a sample for a service that has none.
+
+    Attributes:
+        region: Region of this VM.
     """
 
     def __init__(
@@ -61,7 +64,7 @@
         self._samples = samples
         self._path_of = path_of
         self._domain = domain
-        self._region = region
+        self.region = region
 
     async def run_autocommit(
         self, context: operations.Context, request_id: str, statement: statements.Statement
@@ -336,7 +339,7 @@
                 placement.Candidate(
                     id=tracked.instance.id,
                     distance=placement.distance(
-                        self._domain, self._region, tracked.instance.domain, self._fleet.region(tracked)
+                        self._domain, self.region, tracked.instance.domain, self._fleet.region(tracked)
                     ),
                     primary=tracked is primary,
                     suspect=now < tracked.suspect_until,
--- a/src/currantlead/sessions/fleet.py
+++ b/src/currantlead/sessions/fleet.py
@@ -75,8 +75,7 @@
     """
 
     def __init__(self, bounds: settings.Bounds, region_of: Mapping[str, str]):
-        self._bounds = bounds
-        self._region_of = region_of
+        self.apply_settings(bounds, region_of)
         self._instances: dict[str, TrackedInstance] = {}
         self._evacuated_since: dict[str, float] = {}
         self._last_promotion_at: dict[str, float] = {}
@@ -84,6 +83,11 @@
         self._changed = asyncio.Event()
         self.on_symptom: Callable[[str, Symptom, str], None] = lambda instance_id, symptom, reason: None
 
+    def apply_settings(self, bounds: settings.Bounds, region_of: Mapping[str, str]) -> None:
+        """Apply the bounds for draining and evacuated instances, and the region of each failure domain."""
+        self._bounds = bounds
+        self._region_of = region_of
+
     def replace(self, instances: Iterable[model.Instance]) -> None:
         """Apply the store's complete list; instances that are missing from it have lapsed or left."""
         present = {instance.id: instance for instance in instances}
--- a/src/currantlead/sessions/token_buckets.py
+++ b/src/currantlead/sessions/token_buckets.py
@@ -107,6 +107,10 @@
         self._owners: dict[str, list[model.Member]] = {}
         self._member_count = 0
 
+    def apply_bounds(self, bounds: settings.Bounds) -> None:
+        """Apply the window and tolerances of the rate limits; takes effect with the next ``configure``."""
+        self._bounds = bounds
+
     def configure(
         self, organisations: Mapping[str, model.Organisation], members: Sequence[model.Member], now: float
     ) -> None:
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -177,7 +177,7 @@
 
 
 async def test_fault_while_applying_a_copy_does_not_end_the_polls(three_vms, monkeypatch):
-    """After an unexpected error in a component that receives a copy, the VM watches the store, and polls again later."""
+    """After an unexpected error in a component that gets a copy, the VM watches the store, and polls again later."""
     bed, _, relayed, _ = three_vms
     apply_response = relayed.mirror._apply_response
 
