Start VMs through relays, and keep an outage from making whole domains call the store

When the store was away for all, every relay became stale, and every VM listed five kinds again and again. Each change of the members ranked all VMs for the buckets of all organisations: 27 ms for 195 VMs and 140 organisations, once for each VM that joins.

Change: the members are listed first; a VM that finds its own entry does not register again, and one that finds VMs ranked before it waits for their copies (sessions/relay_choice.py, pure). If no relay is fresh, VMs beyond the third turn to the store one after the other, and only the configuration is asked for until it answers.

--- a/src/currantlead/sessions/members.py
+++ b/src/currantlead/sessions/members.py
@@ -1,5 +1,6 @@
 """Membership list: the VMs that registered themselves in the store."""
 
+import asyncio
 from collections.abc import Iterable
 
 from currantlead.sessions import clock, model
@@ -11,14 +12,16 @@
     Attributes:
         own: This VM.
         version: Incremented with each change.
-        missing_since: Clock reading at which this VM's entry was first missing from the store, or None if it is there;
-            initially the time of creation.
+        missing_since: Clock reading at which this VM's entry was first missing from the store, or differed from this
+            VM, or None if it is there; initially the time of creation.
+        listed: Set when the complete list has been read.
     """
 
     def __init__(self, own: model.Member):
         self.own = own
         self.version = 0
         self.missing_since: float | None = clock.now()
+        self.listed = asyncio.Event()
         self._members: dict[str, model.Member] = {own.name: own}
 
     @property
@@ -46,7 +49,7 @@
         """Apply changed and removed entries."""
         for member in changed:
             self._members[member.name] = member
-            self._track_own_entry(member.name, is_present=True)
+            self._track_own_entry(member.name, is_present=member == self.own)
         for name in removed:
             self._members.pop(name, None)
             self._track_own_entry(name, is_present=False)
@@ -56,9 +59,10 @@
     def replace(self, present: Iterable[model.Member]) -> None:
         """Replace the list of VMs."""
         self._members = {member.name: member for member in present}
-        self._track_own_entry(self.own.name, is_present=self.own.name in self._members)
+        self._track_own_entry(self.own.name, is_present=self._members.get(self.own.name) == self.own)
         self._members[self.own.name] = self.own
         self.version += 1
+        self.listed.set()
 
     def _track_own_entry(self, name: str, *, is_present: bool) -> None:
         if name == self.own.name:
--- a/src/currantlead/sessions/mirror.py
+++ b/src/currantlead/sessions/mirror.py
@@ -16,7 +16,7 @@
 from currantlead import errors, logs
 from currantlead.peers import network
 from currantlead.platform import objects
-from currantlead.sessions import clock, holders, liveness, members, sampling, store
+from currantlead.sessions import clock, liveness, members, relay_choice, sampling, store
 
 POLL, CHANGED = "poll", "changed"
 SAMPLES = "samples"
@@ -24,13 +24,13 @@
 """Interval at which a relay is polled; with the relay's own watch of 1.5 s the age stays below 2.2 s."""
 POLL_TIMEOUT_S = 0.3
 """A round trip within a failure domain takes 2 ms; a VM that takes this long is overloaded or down."""
-MAX_RELAYS = 3
-"""Maximum number of relays per failure domain; if none of them is fresh, each VM watches the store itself."""
-MAX_RELAY_AGE_S = 2.2
-"""Maximum age of a relay's confirmation; older relays are skipped. It leaves time for another poll and a call to the
-store before the age reaches 3 s, when new sessions are refused."""
-STALE_RELAY_RETRY_S = 1.0
+STALE_RELAY_RETRY_S = 0.5
 """Time after which a stale relay is polled again."""
+START_POLL_INTERVAL_S = 0.05
+"""Interval at which a starting VM polls relays, which may be starting too."""
+GATHER_S = 0.4
+"""Time after which a VM that found no others in its failure domain lists the members again: VMs that are started
+together register within 0.3 s."""
 COMPRESSION_LEVEL = 1
 """zlib compression level: a configuration of 100 KB is compressed in 1 ms to a tenth of its size."""
 LISTENER_TIMEOUT_S = 2.0
@@ -185,7 +185,9 @@
 
     async def run(self) -> None:
         """Keep the copies up to date until cancelled."""
+        started_at = clock.now()
         try:
+            await self._load_members()
             while True:
                 self._relay_changed.clear()
                 try:
@@ -193,15 +195,54 @@
                 except Exception as error:
                     # Without this task the VM would neither use a relay nor watch the store.
                     _log.opt(exception=error).error("applying a relay's copies failed, watching the store")
-                    relay = ""
-                self._select_source(relay)
-                try:
-                    async with asyncio.timeout(POLL_INTERVAL_S):
-                        await self._relay_changed.wait()
-                except TimeoutError:
-                    continue
+                    self._select_source("")
+                else:
+                    if relay or self._should_watch_store(started_at):
+                        self._select_source(relay)
+                await self._wait_for_next_poll()
         finally:
-            self._select_source("-")
+            self._stop_following()
+
+    async def _load_members(self) -> None:
+        """List the members once, so that this VM can use a relay from the start.
+
+        A VM that finds neither its own entry nor a relay may be one of many that start together; it lists them again
+        when all have registered.
+        """
+        follower = self._copies[objects.MEMBERS].follower
+        for delay_s in (0.0, GATHER_S):
+            await asyncio.sleep(delay_s)
+            try:
+                await self._store.load(follower)
+            except (errors.HttpUnavailableError, errors.PlatformUnavailableError, errors.MalformedObjectError) as error:
+                _log.warning("members could not be listed at the start: {}", error)
+                return
+            if self._members.missing_since is None or self._relay_candidates():
+                return
+
+    async def _wait_for_next_poll(self) -> None:
+        """Wait for the interval between polls, or until the relay reports a change."""
+        try:
+            async with asyncio.timeout(POLL_INTERVAL_S if self._is_loaded else START_POLL_INTERVAL_S):
+                await self._relay_changed.wait()
+        except TimeoutError:
+            return
+
+    @property
+    def _is_loaded(self) -> bool:
+        """Whether all kinds have been read at least once."""
+        return all(copy.objects_by_name is not None for copy in self._copies.values())
+
+    def _should_watch_store(self, started_at: float) -> bool:
+        """Return whether this VM watches the store, given that no relay has a fresh copy."""
+        if self._follow_tasks:
+            return True
+        rank = self._ranked_relays().index(self._members.own.name)
+        now = clock.now()
+        if not self._is_loaded:
+            return relay_choice.watches_store_at_start(rank, now - started_at)
+        confirmed_at = min(self._copies[kind].confirmed_at for kind in self._probing_kinds())
+        return relay_choice.watches_store(rank, now - confirmed_at)
 
     def _select_source(self, relay: str) -> None:
         """Watch the store directly if ``relay`` is empty, and stop watching it otherwise."""
@@ -209,25 +250,29 @@
             _log.bind(relay=relay or None).info("reading the store through a relay" if relay else "watching the store")
             self._relay = relay
         if relay:
-            for task in self._follow_tasks:
-                task.cancel()
-            self._follow_tasks.clear()
+            self._stop_following()
         elif not self._follow_tasks:
-            self._store.resume()
+            # In an outage, only the kinds that probe the store call it; at the start, every kind is needed.
+            self._store.set_available(not self._is_loaded)
             loop = asyncio.get_running_loop()
             self._follow_tasks = [loop.create_task(self._store.follow(copy.follower)) for copy in self._copies.values()]
 
+    def _stop_following(self) -> None:
+        for task in self._follow_tasks:
+            task.cancel()
+        self._follow_tasks.clear()
+
+    def _ranked_relays(self) -> list[str]:
+        return relay_choice.rank_relays(self._members.own, self._members.all())
+
     def _relay_candidates(self) -> list[str]:
-        """Return the VMs that this one may use as relays, in order of preference."""
-        own = self._members.own
-        same_domain = [member.name for member in self._members.all() if member.domain == own.domain]
-        ranked = sorted(same_domain, key=lambda name: holders.rendezvous_weight("relay", name))
+        """Return the VMs that this one may use as relays now, in order of preference."""
         now = clock.now()
-        return [
-            name
-            for name in ranked[: ranked.index(own.name)][:MAX_RELAYS]
-            if not self._liveness.is_down(name) and self._stale_until.get(name, 0.0) <= now
-        ]
+        return relay_choice.choose_relays(
+            self._ranked_relays(),
+            self._members.own.name,
+            lambda name: not self._liveness.is_down(name) and self._stale_until.get(name, 0.0) <= now,
+        )
 
     async def _poll_relays(self) -> str:
         """Apply the copies of the first fresh relay and return its name, or an empty string if none is fresh."""
@@ -239,13 +284,17 @@
             try:
                 response = await self._peers.request(name, POLL, body, timeout_s=POLL_TIMEOUT_S)
             except (errors.PeerUnreachableError, errors.PeerAnswerLostError) as error:
-                self._liveness.report_down(name, str(error))
+                # While this VM starts, the others may be starting too.
+                if self._is_loaded:
+                    self._liveness.report_down(name, str(error))
                 continue
             try:
                 if self._apply_response(response, requested_at):
                     return name
             except errors.MalformedObjectError as error:
                 _log.bind(relay=name).warning("relay sent a malformed copy: {}", error)
+            if not self._is_loaded:
+                continue
             self._stale_until[name] = clock.now() + STALE_RELAY_RETRY_S
             _log.bind(relay=name).info("relay has no fresh copy, skipping it for {} s", STALE_RELAY_RETRY_S)
         return ""
@@ -259,7 +308,10 @@
         if any(kind not in response for kind in self._copies):
             return False
         relayed = {kind: _decode_relayed(kind, response[kind]) for kind in self._copies}
-        if any(requested_at - relayed[kind].age_s < clock.now() - MAX_RELAY_AGE_S for kind in self._probing_kinds()):
+        if any(
+            requested_at - relayed[kind].age_s < clock.now() - relay_choice.MAX_RELAY_AGE_S
+            for kind in self._probing_kinds()
+        ):
             return False
         for kind, copy in self._copies.items():
             present = relayed[kind].present
--- a/src/currantlead/sessions/registration.py
+++ b/src/currantlead/sessions/registration.py
@@ -26,7 +26,14 @@
         self._registered_at: float | None = None
 
     async def register(self) -> None:
-        """Write this VM's entry, retrying until that succeeds."""
+        """Write this VM's entry unless the store has it, retrying until that succeeds.
+
+        A restarted VM usually finds its entry in the list of members and needs no call.
+        """
+        await self._members.listed.wait()
+        if self._members.missing_since is None:
+            self._registered_at = clock.now()
+            return
         own = self._members.own
         value = objects.encode_member(own)
         while True:
--- /dev/null
+++ b/src/currantlead/sessions/relay_choice.py
@@ -0,0 +1,58 @@
+"""Choice of the source of the store's objects: relays of the failure domain, or the store; all functions are pure.
+
+Every call to the store is metered, so its number must not grow with the VMs of a failure domain. The VMs of a domain
+are ranked; the first one watches the store, and the others follow those ranked before them.
+"""
+
+from collections.abc import Callable, Iterable, Sequence
+
+from currantlead.sessions import holders, model
+
+MAX_RELAYS = 3
+"""Number of VMs that serve as relays of a failure domain, in order of rank."""
+MAX_RELAY_AGE_S = 2.2
+"""Maximum age of a relay's confirmation; older relays are skipped. It leaves time for another poll and a call to the
+store before the age reaches 3 s, when new sessions are refused."""
+LATEST_DIRECT_AGE_S = 2.9
+"""Age of this VM's own copy from which it watches the store, whatever its rank."""
+DIRECT_STAGGER_S = 0.05
+"""Delay per rank with which VMs turn to the store when no relay is fresh. If the store refuses only the relays, the
+first VMs that it serves follow it in time; in an outage, a whole domain would otherwise call it at once."""
+START_WAIT_S = 0.6
+"""Time for which a starting VM waits for its first relay: all VMs may start at the same moment, and a relay needs this
+long to read its own copies."""
+START_STAGGER_S = 0.3
+"""Additional wait of a starting VM per rank, up to ``MAX_RELAYS``, so that its first relays can be replaced in turn."""
+
+
+def rank_relays(own: model.Member, members: Iterable[model.Member]) -> list[str]:
+    """Return the VMs of this VM's failure domain in the order in which they serve as relays."""
+    names = [member.name for member in members if member.domain == own.domain]
+    return sorted(names, key=lambda name: holders.rendezvous_weight("relay", name))
+
+
+def choose_relays(ranked: Sequence[str], own: str, is_usable: Callable[[str], bool]) -> list[str]:
+    """Return the VMs to poll, in order of preference: the first relays that are ranked before this VM."""
+    return [name for name in ranked[: ranked.index(own)][:MAX_RELAYS] if is_usable(name)]
+
+
+def watches_store_at_start(rank: int, waited_s: float) -> bool:
+    """Return whether a VM without a complete copy watches the store, because no relay has sent one.
+
+    Args:
+        rank: Position of this VM among those of its failure domain; 0 is the first.
+        waited_s: Seconds since it began to look for a relay.
+    """
+    return rank == 0 or waited_s >= START_WAIT_S + min(rank, MAX_RELAYS) * START_STAGGER_S
+
+
+def watches_store(rank: int, age_s: float) -> bool:
+    """Return whether a VM that has a complete copy watches the store, because no relay is fresh.
+
+    Args:
+        rank: Position of this VM among those of its failure domain; 0 is the first.
+        age_s: Seconds since its copy of the configuration was confirmed.
+    """
+    if rank < MAX_RELAYS:
+        return True
+    return age_s >= min(LATEST_DIRECT_AGE_S, MAX_RELAY_AGE_S + (rank - MAX_RELAYS) * DIRECT_STAGGER_S)
--- a/src/currantlead/sessions/store.py
+++ b/src/currantlead/sessions/store.py
@@ -140,9 +140,23 @@
             )
         return response
 
-    def resume(self) -> None:
-        """Let all followers call the store again, regardless of an earlier outage."""
-        self._available.set()
+    def set_available(self, available: bool) -> None:
+        """Set whether followers that do not retry during an outage may call the store before another one reached it."""
+        if available:
+            self._available.set()
+        else:
+            self._available.clear()
+
+    async def load(self, follower: Follower) -> None:
+        """List a follower's objects once, so that a later ``follow`` starts with a watch.
+
+        Raises:
+            errors.HttpUnavailableError: There was no response.
+            errors.PlatformUnavailableError: The store refused the call.
+            errors.MalformedObjectError: The response is malformed.
+        """
+        follower.revision, confirmed_at = await self._list(self._client, follower)
+        follower.on_confirmed(confirmed_at)
 
     async def follow(self, follower: Follower) -> None:
         """Keep a follower up to date, starting from its revision, until cancelled.
@@ -153,6 +167,8 @@
         client = http.HttpClient(self._address)
         retry_delay_s, connected = RETRY_INITIAL_S, True
         confirmed_at = clock.now()
+        if not follower.retries_during_outage:
+            await self._available.wait()
         while True:
             try:
                 if follower.revision is None:
--- a/src/currantlead/sessions/token_buckets.py
+++ b/src/currantlead/sessions/token_buckets.py
@@ -7,8 +7,9 @@
 
 import dataclasses
 import hashlib
+import itertools
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from currantlead import logs
 from currantlead.sessions import model, settings
@@ -77,19 +78,35 @@
         self.loan_expires_at = now + LOAN_LIFETIME_S
 
 
-def select_owners(organisation: model.Organisation, members: Sequence[model.Member]) -> list[model.Member]:
-    """Return the VMs that own buckets of an organisation: a few in each failure domain, or all VMs if there are few."""
+def group_by_domain(members: Iterable[model.Member]) -> dict[str, list[model.Member]]:
+    """Return the VMs of each failure domain."""
     domains: dict[str, list[model.Member]] = {}
     for member in members:
         domains.setdefault(member.domain, []).append(member)
+    return domains
+
+
+def owners_per_domain(organisation: model.Organisation, domains: Mapping[str, Sequence[model.Member]]) -> int:
+    """Return how many VMs of each failure domain own buckets of an organisation; all do where there are fewer."""
     count = max(MIN_OWNERS_PER_DOMAIN, math.ceil(organisation.rate / TARGET_BUCKET_RATE / max(1, len(domains))))
+    size = sum(map(len, domains.values()))
+    return size if size <= count * len(domains) else count
+
+
+def select_owners_in_domain(name: str, members: Sequence[model.Member], count: int) -> list[model.Member]:
+    """Return the VMs of one failure domain that own buckets of the organisation ``name``."""
 
     def rendezvous_weight(member: model.Member) -> bytes:
-        return hashlib.blake2b(f"{organisation.name}/{member.name}".encode(), digest_size=8).digest()
+        return hashlib.blake2b(f"{name}/{member.name}".encode(), digest_size=8).digest()
 
-    if len(members) <= count * len(domains):
-        return list(members)
-    return [member for in_domain in domains.values() for member in sorted(in_domain, key=rendezvous_weight)[:count]]
+    return list(members) if len(members) <= count else sorted(members, key=rendezvous_weight)[:count]
+
+
+def select_owners(organisation: model.Organisation, members: Iterable[model.Member]) -> list[model.Member]:
+    """Return the VMs that own buckets of an organisation: a few in each failure domain, or all VMs if there are few."""
+    domains = group_by_domain(members)
+    count = owners_per_domain(organisation, domains)
+    return [owner for group in domains.values() for owner in select_owners_in_domain(organisation.name, group, count)]
 
 
 class TokenBuckets:
@@ -104,7 +121,11 @@
         self._vm = vm
         self._bounds = bounds
         self._buckets: dict[str, TokenBucket] = {}
-        self._owners: dict[str, list[model.Member]] = {}
+        self._organisations: Mapping[str, model.Organisation] = {}
+        self._domains: dict[str, list[model.Member]] = {}
+        self._own_neighbours: list[model.Member] = []
+        self._is_owner: dict[tuple[str, int], bool] = {}
+        self._lenders: dict[str, list[model.Member]] = {}
         self._member_count = 0
 
     def apply_bounds(self, bounds: settings.Bounds) -> None:
@@ -120,10 +141,16 @@
             _log.bind(members=self._member_count).info("number of VMs changed, redistributing rate limits")
         for name in [name for name in self._buckets if name not in organisations]:
             del self._buckets[name]
-        self._owners = {name: select_owners(organisation, members) for name, organisation in organisations.items()}
+        self._organisations, self._domains = organisations, group_by_domain(members)
+        self._lenders.clear()
+        neighbours = next(
+            (group for group in self._domains.values() if any(member.name == self._vm for member in group)), []
+        )
+        if neighbours != self._own_neighbours:
+            self._own_neighbours = neighbours
+            self._is_owner.clear()
         for name, organisation in organisations.items():
-            owners = self._owners[name]
-            share = 1 / len(owners) if any(owner.name == self._vm for owner in owners) else 0.0
+            share = self._own_share(organisation)
             rate, burst = organisation.rate * share, self._effective_burst(organisation) * share
             bucket = self._buckets.get(name)
             if bucket is None:
@@ -134,6 +161,18 @@
                 bucket.level = min(bucket.level, burst)
             bucket.rate, bucket.burst = rate, burst
 
+    def _own_share(self, organisation: model.Organisation) -> float:
+        """Return this VM's share of an organisation's rate; 0 if it owns no bucket of it."""
+        count = owners_per_domain(organisation, self._domains)
+        key = organisation.name, count
+        if key not in self._is_owner:
+            # Only the VMs of this failure domain are ranked here; those of others only if tokens are borrowed.
+            owners = select_owners_in_domain(organisation.name, self._own_neighbours, count)
+            self._is_owner[key] = any(owner.name == self._vm for owner in owners)
+        if not self._is_owner[key]:
+            return 0.0
+        return 1 / sum(min(count, len(members)) for members in self._domains.values())
+
     def _effective_burst(self, organisation: model.Organisation) -> float:
         bounds = self._bounds
         window = organisation.rate * bounds.rate_window_s + organisation.burst
@@ -152,7 +191,13 @@
 
     def lenders(self, organisation: str) -> list[model.Member]:
         """Return the other VMs that own buckets of an organisation."""
-        return [owner for owner in self._owners.get(organisation, ()) if owner.name != self._vm]
+        known = self._organisations.get(organisation)
+        if known is None:
+            return []
+        if organisation not in self._lenders:
+            owners = select_owners(known, itertools.chain.from_iterable(self._domains.values()))
+            self._lenders[organisation] = [owner for owner in owners if owner.name != self._vm]
+        return self._lenders[organisation]
 
     def try_consume(self, organisation: str, now: float) -> bool:
         """Consume one token of an organisation; return whether one was available."""
