Hold work for a dead primary back until its successor takes over

A single lost answer made a VM suspect a primary that answered others.

A suspect primary is sampled, and an answer ends the wait. A time-out counts against an instance only if it answered nothing else meanwhile. A promotion does not connect again to a primary that its check has just found unreachable.

--- a/src/currantlead/errors.py
+++ b/src/currantlead/errors.py
@@ -74,7 +74,7 @@
 
     Attributes:
         sent: Whether the statement may have reached the instance.
-        timed_out: Whether the time limit expired while the connection was still open.
+        timed_out: Whether the time limit expired, and the instance answered nothing else meanwhile.
     """
 
     def __init__(self, message: str, *, sent: bool, timed_out: bool = False):
@@ -112,4 +112,12 @@
 
 
 class PoolUnavailableError(CurrantleadError):
-    """Raised when no connection to an instance became available in time; nothing was sent."""
+    """Raised when no connection to an instance became available in time; nothing was sent.
+
+    Attributes:
+        suspect: Whether the VM that holds the connections suspects that the instance has failed.
+    """
+
+    def __init__(self, message: str, *, suspect: bool = False):
+        super().__init__(message)
+        self.suspect = suspect
--- a/src/currantlead/sessions/execution.py
+++ b/src/currantlead/sessions/execution.py
@@ -14,13 +14,9 @@
     paths,
     placement,
     statements,
+    waiting,
 )
 
-WAIT_SHARE = 0.24
-"""Share of an operation's response-time objective for which it may wait for an instance. A refusal after more than a
-quarter of the objective would leave the caller too little time for another attempt."""
-BUSY_WAIT_SHARE = 0.6
-"""The same for a statement that an instance refused as busy: retrying here costs less than a retry by the caller."""
 READ_ATTEMPT_SHARE = 0.35
 """Share of the route's time limit after which a read is retried elsewhere if the instance does not answer."""
 MIN_TIMEOUT_S = 0.001
@@ -174,7 +170,8 @@
         began_at = clock.now()
         deadline = began_at + context.route.timeout_s
         objective_s = min(context.route.target_latency_s, context.route.timeout_s)
-        wait_until = began_at + objective_s * WAIT_SHARE
+        wait = waiting.Wait(began_at, objective_s, context.route.timeout_s)
+        awaited_failover = False
         if not writes and self._lacks_sample(context):
             await self._fetch_sample(context.route.service)
         tried_ids: set[str] = set()
@@ -183,16 +180,21 @@
             now = clock.now()
             target = self._choose_target(context, writes, tried_ids, now)
             if target is None:
+                awaits_failover = self._awaits_failover(context, writes)
+                wait_until = wait.failover_until() if awaits_failover else wait.until
                 if now >= wait_until:
                     return last_outcome, None
+                awaited_failover = awaited_failover or awaits_failover
                 await self._fleet.wait_for_change(min(RETRY_PAUSE_S, wait_until - now))
                 tried_ids.clear()
                 continue
+            if awaited_failover:
+                wait.resume_after_failover(now)
             use_full_limit = may_commit or target.after is None
             attempt_s = context.route.timeout_s * (1.0 if use_full_limit else READ_ATTEMPT_SHARE)
             order = order_for(target, max(MIN_TIMEOUT_S, min(deadline - now, attempt_s)))
             outcome, lease = await self._run_attempt(
-                context, target, order, max(MIN_TIMEOUT_S, wait_until - now), may_commit
+                context, target, order, max(MIN_TIMEOUT_S, wait.until - now), may_commit
             )
             self._record_attempt(context, request_id, target, outcome, duration_s=clock.now() - now)
             failed = outcome.failure is not None and outcome.failure.code is statements.Code.FAILED
@@ -202,10 +204,10 @@
             elif not self._should_retry(outcome, target):
                 return outcome, lease
             if outcome.from_instance and outcome.failure is not None and outcome.failure.code is statements.Code.BUSY:
-                wait_until = began_at + objective_s * BUSY_WAIT_SHARE
+                wait.extend_for_busy_instance()
             last_outcome = outcome
             tried_ids.add(target.tracked.instance.id)
-            if clock.now() >= wait_until:
+            if clock.now() >= wait.until and not self._awaits_failover(context, writes):
                 return last_outcome, None
 
     async def _run_attempt(
@@ -233,6 +235,8 @@
                 self._fleet.mark_suspect(instance.id, str(error))
             return operations.Outcome.refused(statements.Code.BUSY, str(error)), None
         except errors.PoolUnavailableError as error:
+            if error.suspect:
+                self._fleet.mark_suspect(instance.id, str(error), reported=True)
             return operations.Outcome.refused(statements.Code.BUSY, str(error)), None
         except errors.LinkLostError as error:
             self._record_lost_link(instance.id, error, commits=may_commit)
@@ -315,10 +319,26 @@
         primary = self._fleet.primary(service)
         if primary is None or primary.instance.id in tried_ids or not self._fleet.accepts_primary_work(primary):
             return None
-        if not self._is_region_allowed(context, primary):
+        if self._has_failed(primary) or not self._is_region_allowed(context, primary):
             return None
         return operations.Target(primary, self._path_of(primary.instance), None)
 
+    def _awaits_failover(self, context: operations.Context, writes: bool) -> bool:
+        """Return whether a statement needs the primary, and the primary has to be replaced or does not respond."""
+        if (
+            not writes
+            and context.route.consistency is not model.Consistency.PRIMARY
+            and not self._lacks_sample(context)
+        ):
+            return False
+        primary = self._fleet.primary(context.route.service)
+        return primary is None or not self._fleet.accepts_primary_work(primary) or self._has_failed(primary)
+
+    def _has_failed(self, primary: fleet.TrackedInstance) -> bool:
+        """Return whether a primary does not respond to anyone, so that statements wait for its successor."""
+        latest = self._samples.latest(primary.instance.service)
+        return self._fleet.awaits_failover(primary, latest.asked_at if latest is not None else float("-inf"))
+
     def _choose_read_target(
         self, context: operations.Context, after: model.Position, sampled_at: float, tried_ids: set[str], now: float
     ) -> operations.Target | None:
@@ -342,7 +362,7 @@
                         self._domain, self.region, tracked.instance.domain, self._fleet.region(tracked)
                     ),
                     primary=tracked is primary,
-                    suspect=now < tracked.suspect_until,
+                    suspect=self._fleet.is_suspect(tracked),
                     lagging=lagging,
                     saturated=path.saturated,
                     free_connection=path.has_idle(context.organisation),
--- a/src/currantlead/sessions/fleet.py
+++ b/src/currantlead/sessions/fleet.py
@@ -17,6 +17,9 @@
 """The same for a primary in an evacuated failure domain, and for the same reason."""
 SUSPECT_DURATION_S = 1.0
 """Time for which other instances are preferred to one that did not answer or refused connections."""
+FAILOVER_HOLD_S = 2.5
+"""Time from a primary's first failure for which it gets no work: a failover takes about 2.3 s. What is sent to a dead
+primary is in doubt; one that waits can run at its successor."""
 LAGGING_DURATION_S = 0.8
 """Time for which a replica that lacked a position is taken to lack it; the VMs of a failure domain share this knowledge
 every 0.5 s."""
@@ -212,6 +215,21 @@
         """Return the region of an instance, or an empty string if it is unknown."""
         return self._region_of.get(tracked.instance.domain, "")
 
+    def is_suspect(self, tracked: TrackedInstance) -> bool:
+        """Return whether an instance recently did not answer or refused connections."""
+        return clock.now() < tracked.suspect_until
+
+    def awaits_failover(self, tracked: TrackedInstance, alive_at: float) -> bool:
+        """Return whether a primary has failed and nothing has answered since, so that its work waits for a successor.
+
+        Args:
+            tracked: The primary.
+            alive_at: Clock reading of the last request that the primary is known to have answered, on any VM.
+        """
+        if tracked.failing_since is None or alive_at > tracked.failing_since:
+            return False
+        return self.is_suspect(tracked) or clock.now() - tracked.failing_since < FAILOVER_HOLD_S
+
     def mark_suspect(self, instance_id: str, reason: str, *, reported: bool = False) -> None:
         """Record that an instance did not answer or refused connections, so that others are preferred for a while.
 
@@ -235,8 +253,11 @@
         """Record a successful answer of an instance."""
         tracked = self._instances.get(instance_id)
         if tracked is not None:
+            was_suspect = self.is_suspect(tracked)
             tracked.suspect_until = 0.0
             tracked.failing_since = None
+            if was_suspect:
+                self._notify_waiters()
 
     def record_write(self, instance_id: str, *, answered: bool, reported: bool = False) -> None:
         """Record whether a write was answered; a primary that has lost its replicas answers none.
--- a/src/currantlead/sessions/forwarding.py
+++ b/src/currantlead/sessions/forwarding.py
@@ -120,6 +120,7 @@
             self._holders_of(self.instance), key=lambda name: holders.rendezvous_weight(organisation, name, *vm_salt)
         )
         self._orders_running += 1
+        suspect = False
         try:
             for index, holder in enumerate(candidates):
                 remaining_s = deadline - clock.now()
@@ -136,13 +137,14 @@
                         check,
                     )
                 except errors.PoolUnavailableError as error:
+                    suspect = suspect or error.suspect
                     _log.bind(request=order.request_id, instance=self.instance.id, holder=holder).info(
                         "holder did not run the order: {}", error
                     )
         finally:
             self._orders_running -= 1
         self._saturated_at = clock.now()
-        raise errors.PoolUnavailableError(f"no holder of {self.instance.id} had a free connection")
+        raise errors.PoolUnavailableError(f"no holder of {self.instance.id} had a free connection", suspect=suspect)
 
     async def _run_on_holder(
         self, holder: str, organisation: str, order: orders.Order, priority: int, wait_s: float, check: paths.SendCheck
--- a/src/currantlead/sessions/holders.py
+++ b/src/currantlead/sessions/holders.py
@@ -132,7 +132,7 @@
                 check=lambda: None,
             )
         except errors.PoolUnavailableError as error:
-            return {"refused": str(error)}
+            return {"refused": str(error), "suspect": self._fleet.is_suspect(tracked)}
         except errors.LinkRefusedError as error:
             return {"refused": str(error), "unreachable": not error.overloaded}
         except errors.LinkLostError as error:
@@ -229,7 +229,7 @@
         if response.get("unreachable"):
             raise errors.LinkRefusedError(response["refused"], overloaded=False)
         if "refused" in response:
-            raise errors.PoolUnavailableError(response["refused"])
+            raise errors.PoolUnavailableError(response["refused"], suspect=bool(response.get("suspect")))
         reply, begin_reply = response["report"]
         report = orders.Report(
             _decode_reply(reply, asked_at), _decode_reply(begin_reply, asked_at) if begin_reply is not None else None
--- a/src/currantlead/sessions/paths.py
+++ b/src/currantlead/sessions/paths.py
@@ -111,15 +111,26 @@
         self.committed_at = float("-inf")
 
     async def perform(self, order: orders.Order, connection: link.Link) -> orders.Report:
-        """Run an order and track it; see ``orders.perform``."""
+        """Run an order and track it; see ``orders.perform``.
+
+        Raises:
+            errors.LinkLostError: The connection was lost; it counts as timed out only if the instance answered nothing
+                else meanwhile.
+        """
         order_id = next(self._order_ids)
-        self._running[order_id] = clock.now(), order.commits
+        started_at = clock.now()
+        self._running[order_id] = started_at, order.commits
         try:
             report = await orders.perform(order, connection)
             self._last_response_at = clock.now()
             if order.commits and report.reply.failure is None:
                 self.committed_at = self._last_response_at
             return report
+        except errors.LinkLostError as error:
+            if error.timed_out and self._last_response_at > started_at:
+                # The instance answered others meanwhile: this answer was lost, and the instance is alive.
+                raise errors.LinkLostError(str(error), sent=error.sent) from error
+            raise
         finally:
             del self._running[order_id]
 
--- a/src/currantlead/sessions/sampling.py
+++ b/src/currantlead/sessions/sampling.py
@@ -65,9 +65,23 @@
         peers.handler(SAMPLE)(self._handle_request)
 
     async def refresh(self) -> None:
-        """Collect samples of all services that are reached through holders; called periodically."""
-        if self._is_collecting():
-            await asyncio.gather(*(self._refresh_service(service) for service in self._fleet.services()))
+        """Collect samples of all services that are reached through holders; called periodically.
+
+        Primaries that this VM holds connections to are sampled in any case while they are suspect: an answer shows that
+        they are alive, and ends the wait of the statements that are held back.
+        """
+        is_collecting = self._is_collecting()
+        await asyncio.gather(
+            *(
+                self._refresh_service(service)
+                for service in self._fleet.services()
+                if is_collecting or self._is_suspect(service)
+            )
+        )
+
+    def _is_suspect(self, service: str) -> bool:
+        primary = self._fleet.primary(service)
+        return primary is not None and self._fleet.is_suspect(primary)
 
     async def fetch(self, service: str) -> None:
         """Fetch a first sample for a service; concurrent calls share one request."""
@@ -122,6 +136,8 @@
         path = self._connections.path_of(primary.instance)
         if not isinstance(path, forwarding.ForwardingPath):
             # With its own connections to the primary, this VM gets samples from its own statements.
+            if self._fleet.is_suspect(primary):
+                await self._sample(primary.instance)
             return
         holder = path.first_holder()
         if holder == self._peers.member.vm:
@@ -177,6 +193,8 @@
             _log.bind(instance=instance.id).info("sampling the position of the instance failed: {}", error)
             return
         self._samples.record_report(instance.service, order, report)
+        if report.primary_proof(order) is not None:
+            self._fleet.mark_healthy(instance.id)
 
 
 def _decode_entries(entries: Any) -> dict[str, tuple[model.Position, float]]:
--- a/src/currantlead/sessions/succession.py
+++ b/src/currantlead/sessions/succession.py
@@ -132,9 +132,12 @@
     async def _run_promotion(self, service: str, reason: str) -> str:
         """Run one promotion; return why it stopped, or an empty string if it succeeded."""
         old = self._fleet.primary(service)
-        if old is not None and reason == "silent" and await self._is_alive(old.instance):
-            self._fleet.mark_healthy(old.instance.id)
-            return "the primary answers status requests"
+        is_reachable = True
+        if old is not None and reason == "silent":
+            is_alive, is_reachable = await self._probe(old.instance)
+            if is_alive:
+                self._fleet.mark_healthy(old.instance.id)
+                return "the primary answers status requests"
         if (
             old is not None
             and reason == "commits are stuck"
@@ -148,13 +151,13 @@
         _log.bind(service=service, generation=generation).info("promotion began: {}", reason)
         links: list[link.Link] = []
         try:
-            return await self._pause_and_promote(service, generation, old, links)
+            return await self._pause_and_promote(service, generation, old, links, demotes=is_reachable)
         finally:
             for item in links:
                 item.close()
 
     async def _pause_and_promote(
-        self, service: str, generation: int, old: fleet.TrackedInstance | None, links: list[link.Link]
+        self, service: str, generation: int, old: fleet.TrackedInstance | None, links: list[link.Link], *, demotes: bool
     ) -> str:
         """Pause every replica, demote the old primary, and promote the most recent replica.
 
@@ -167,13 +170,15 @@
             generation: Generation number of this promotion.
             old: The old primary, or None if none is known.
             links: Receives the connections that this opens; the caller closes them.
+            demotes: Whether to connect to the old primary to demote it; another attempt at one that has just been
+                unreachable would only make the service wait for the whole timeout once more.
 
         Returns:
             Why the promotion stopped, or an empty string if it succeeded.
         """
         old_id = old.instance.id if old is not None else ""
         # Connecting to an unreachable primary takes the whole timeout, so it starts before the replicas are paused.
-        connecting = asyncio.create_task(self._connect(old.instance)) if old is not None else None
+        connecting = asyncio.create_task(self._connect(old.instance)) if old is not None and demotes else None
         term = await self._pause_replicas(service, old_id, links, 0)
         old_link = await connecting if connecting is not None else None
         if isinstance(term, str):
@@ -296,15 +301,18 @@
         tracked = self._fleet.get(instance_id)
         return tracked is not None and self._fleet.accepts_reads(tracked)
 
-    async def _is_alive(self, instance: model.Instance) -> bool:
-        """Return whether an instance is alive; one that refuses because it has too many connections is."""
+    async def _probe(self, instance: model.Instance) -> tuple[bool, bool]:
+        """Return whether an instance is alive, and whether it accepts connections.
+
+        One that refuses because it has too many connections is alive.
+        """
         try:
             connection = await link.Link.connect(instance, ORGANISATION)
         except errors.LinkRefusedError as error:
-            return error.overloaded
+            return error.overloaded, error.overloaded
         status = await self._send(connection, _codec.encode_status())
         connection.close()
-        return status is not None
+        return status is not None, True
 
     async def _are_commits_stuck(self, service: str, primary: model.Instance) -> bool:
         """Return whether no replica receives the primary's commits.
--- a/tests/standins/line_instance.py
+++ b/tests/standins/line_instance.py
@@ -111,6 +111,7 @@
         paused_term: Term of the PAUSE that stopped replication to this replica, or 0 if it is replicating.
         paused_at: Number of commits that the replica had received when it was paused.
         lose_answers: Number of next responses to callers' statements to drop by closing the connection.
+        swallow_answers: Number of next responses to callers' statements that are never sent on an open connection.
         error_codes: Error codes with which the next statements fail, without being run.
         accepted_connections: Number of connections accepted so far.
     """
@@ -122,6 +123,7 @@
         self.paused_term = 0
         self.paused_at = 0
         self.lose_answers = 0
+        self.swallow_answers = 0
         self.error_codes: list[str] = []
         self.connections: set[Connection] = set()
         self.accepted_connections = 0
@@ -222,6 +224,9 @@
             if request != "-" and self.instance.lose_answers:
                 self.instance.lose_answers -= 1
                 return
+            if request != "-" and self.instance.swallow_answers:
+                self.instance.swallow_answers -= 1
+                continue
             self.send(*messages, self.ready_message())
             await self.writer.drain()
 
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from currantlead.sessions import clock, link, model, succession
 from tests import session_bed
 from tests.standins import line_instance
 
@@ -174,3 +175,82 @@
     bed.register_instance("i-1", state="draining")
     await wait_until(lambda: bed.store.promotions)
     assert paused_terms[0] > 0
+
+
+async def test_writes_wait_for_the_successor_of_a_silent_primary(bed):
+    """Load pattern: a primary goes dark while callers write, each with three attempts in a row.
+
+    Sent to the dark primary, the writes were in doubt; refused after a tenth of a second, all attempts failed before
+    the promotion. Each must run once at the new primary.
+    """
+    callers = [await bed.caller() for _ in range(6)]
+    for number, caller in enumerate(callers):
+        await caller.query(f"WRITE a{number} x")
+    bed.service.instances["i-1"].unresponsive = True
+    bed.daemon.fleet.mark_suspect("i-1", "seen by the test")
+    answers = {}
+
+    async def write(number, caller):
+        for _ in range(3):
+            answers.setdefault(number, []).append((await caller.query(f"WRITE b{number} y"))[0])
+            if answers[number][-1].startswith("DONE"):
+                return
+
+    await asyncio.gather(*(write(number, caller) for number, caller in enumerate(callers)))
+    assert bed.service.primary in ("i-2", "i-3")
+    assert [answer[-1].split(".")[0] for answer in answers.values()] == [f"DONE {bed.service.primary}"] * 6
+    assert all("INDOUBT" not in answer for attempts in answers.values() for answer in attempts)
+    written = [item for commit in bed.service.log for _, item, _ in commit.writes if item.startswith("b")]
+    assert sorted(written) == [f"b{number}" for number in range(6)]
+
+
+async def test_unreachable_primary_is_not_connected_twice(bed, monkeypatch):
+    """The check that the primary is dead has waited for a connection already; the promotion doesn't wait again."""
+    caller = await bed.caller()
+    await caller.query("WRITE a1 x")
+    bed.service.instances["i-1"].unresponsive = True
+    connected = []
+    connect = link.Link.connect
+
+    async def record(instance, organisation):
+        connected.append((instance.id, organisation))
+        return await connect(instance, organisation)
+
+    monkeypatch.setattr(link.Link, "connect", record)
+    bed.daemon.fleet.mark_suspect("i-1", "seen by the test")
+    await wait_until(lambda: bed.service.primary != "i-1")
+    assert connected.count(("i-1", succession.ORGANISATION)) == 1
+
+
+async def test_primary_that_others_reach_is_not_waited_for(bed):
+    """A single failed connection must not hold back the work of a primary that answers other VMs."""
+    caller = await bed.caller()
+    await caller.query("WRITE a1 x")
+    bed.daemon.fleet.mark_suspect("i-1", "seen by the test")
+    bed.daemon.position_samples.record("svc1", clock.now(), model.Position(1, 1))
+    started = clock.now()
+    assert (await caller.query("WRITE a2 y"))[0].startswith("DONE i-1")
+    assert clock.now() - started < 0.1
+
+
+async def test_wrong_suspicion_of_a_primary_ends_with_a_sample(bed):
+    """A VM without answers of its own asks the suspect primary, and holds work back no longer than that takes."""
+    caller = await bed.caller()
+    await caller.query("WRITE a1 x")
+    bed.daemon.fleet.mark_suspect("i-1", "seen by the test")
+    assert (await caller.query("WRITE a2 y"))[0].startswith("DONE i-1")
+
+
+async def test_lost_answer_of_a_live_primary_raises_no_suspicion(bed):
+    """With answers lost now and then, each time-out made a VM hold all work for a primary that answers others."""
+    first, second = await bed.caller(), await bed.caller()
+    await first.query("WRITE a1 x")
+    await second.query("WRITE a2 y")
+    bed.service.instances["i-1"].swallow_answers = 1
+    lost = asyncio.create_task(first.query("WRITE a3 z"))
+    await asyncio.sleep(0.05)
+    while not lost.done():
+        assert (await second.query("WRITE a4 z"))[0].startswith("DONE i-1")
+        await asyncio.sleep(0.05)
+    assert (await lost)[0].startswith("ERR INDOUBT")
+    assert not bed.daemon.fleet.is_suspect(bed.daemon.fleet.get("i-1"))
