--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -236,3 +236,26 @@
         assert len(probes) <= 60
         bed.store.fault = lambda method, path: None
         await wait_until(lambda: all(vm.configuration_age.age_s(clock.now()) < 1.0 for vm in vms), 2.5)
+
+
+async def test_restarted_vm_takes_no_old_state_from_a_relay_that_is_cut_off(three_vms, monkeypatch):
+    """After a restart, a withdrawn key or an instance that has left must not come back from a relay's old copy."""
+    bed, relay, relayed, _ = three_vms
+    await bed.stop_daemon(relayed)
+    send = relay.store._send
+
+    async def refuse(call, client, timeout_s):
+        response = await send(call, client, timeout_s)
+        return type(response)(503, b"{}")
+
+    monkeypatch.setattr(relay.store, "_send", refuse)
+    # A watch that is waiting when the store begins to refuse ends within its own time.
+    await asyncio.sleep(1.6)
+    bed.store.put("config", "main", session_bed.configuration(2, tenants=[]))
+    bed.store.delete("servers", "i-3")
+    await asyncio.sleep(relay_choice.MAX_RELAY_AGE_S)
+    assert relay.configuration.version == 1
+    restarted = await bed.add_daemon(relayed.settings.vm, "z1")
+    assert restarted.configuration.version == 2 and restarted.fleet.get("i-3") is None
+    caller = await bed.connect(restarted)
+    assert (await caller.request(f"START own-db {session_bed.KEY}"))[0].startswith("ERR NOAUTH")
