Count promotions, and refuse an endless greeting of an instance

Cause: the daemon passed no callback for outcomes, so the metric promotions_total that OPERATIONS.md names was never counted. An instance that answers START with a line over the size limit raised LimitOverrunError out of the task that opens connections, whose waiter then waited for its whole time.

Result: both cases fail on the code before (test_succession, test_session_pool).

--- a/src/currantlead/sessions/daemon.py
+++ b/src/currantlead/sessions/daemon.py
@@ -129,6 +129,7 @@
                 config.promotions,
                 vm=config.vm,
                 members=self._responsive_vms,
+                count_outcome=lambda outcome: self.metrics.count("promotions", result=outcome),
             )
             if config.promotions is not None
             else None
--- a/src/currantlead/sessions/link.py
+++ b/src/currantlead/sessions/link.py
@@ -134,7 +134,13 @@
                 writer.write(_codec.encode_start(instance.service, organisation, instance.id))
                 link = cls(instance, organisation, reader, writer)
                 message = await link._read_message()
-        except (TimeoutError, OSError, asyncio.IncompleteReadError, errors.MalformedFrameError) as error:
+        except (
+            TimeoutError,
+            OSError,
+            asyncio.IncompleteReadError,
+            asyncio.LimitOverrunError,
+            errors.MalformedFrameError,
+        ) as error:
             if writer is not None:
                 writer.transport.abort()
             raise errors.LinkRefusedError(f"cannot connect to {instance.id}: {error!r}", overloaded=False) from error
--- a/tests/test_session_pool.py
+++ b/tests/test_session_pool.py
@@ -5,7 +5,8 @@
 import pytest
 
 from currantlead import errors
-from currantlead.sessions import model, pool
+from currantlead.platform import lines
+from currantlead.sessions import link, model, pool
 
 INSTANCE = model.Instance("i-1", "svc", "127.0.0.1", 1, "z1", False, model.Role.PRIMARY, 1)
 
@@ -261,3 +262,18 @@
     connection.usable = False
     assert await acquire(connection_pool) is not connection
     assert len(connector.opened) == 2
+
+
+async def test_endless_greeting_of_an_instance_is_a_refusal():
+    """An instance that answers START with a line over the size limit must not end the task that opens connections."""
+
+    async def greet(reader, writer):
+        writer.write(b"x" * (lines.MAX_MESSAGE_BYTES + 4096))
+        await writer.drain()
+
+    server = await asyncio.start_server(greet, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    instance = model.Instance("i-1", "svc1", "127.0.0.1", port, "z1", False, model.Role.PRIMARY, 1)
+    with pytest.raises(errors.LinkRefusedError):
+        await link.Link.connect(instance, "spinners")
+    server.close()
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -32,6 +32,7 @@
     assert (await caller.query("READ a1"))[0] == "ROW x"
     assert (await caller.query("WRITE a2 y"))[0].startswith(f"DONE {bed.service.primary}")
     assert len(bed.store.promotions) == 1
+    assert 'promotions_total{result="promoted"} 1' in bed.daemon.metrics.render()
 
 
 async def test_silent_primary_is_replaced(bed):
