Hand the tokens of an owner that leaves to the next one

Seven planned stops in turn moved the owner of a small organisation again and again, and its statements were refused as over the rate although inside it.

Change: a VM whose planned stop begins remembers the buckets that it owns, and when it has left the view it sends their levels to the next owners, which add them once, up to the burst. Nothing accrues after the ownership has ended, a bucket lost before the stop is not handed over, and a lost frame loses tokens.

Result: tests/test_service.py, two cases; the first fails on the code before.

--- a/src/currantlead/admission/bucket_owner.py
+++ b/src/currantlead/admission/bucket_owner.py
@@ -16,11 +16,19 @@
 BALANCE_WINDOW_S = 5.0
 """Levels are balanced for this long after the last request, so that an idle organisation causes no traffic."""
 
+HANDOVER_LIFETIME_S = 5.0
+"""Time for which tokens of a former owner are kept until this VM is the owner; a view change takes about 1 s."""
+
 _log = logs.part("admission")
 
 
 class OwnedBucket:
-    """Bucket of one organisation, which exists while this VM owns it."""
+    """Bucket of one organisation, which exists while this VM owns it.
+
+    Attributes:
+        former: The bucket that this VM owned when its planned stop began, until its tokens are handed over.
+        handed_over: Tokens from a former owner, with the clock reading until which they may be used.
+    """
 
     def __init__(self, name: str):
         self.name = name
@@ -29,6 +37,8 @@
         self.borrowing = asyncio.Lock()
         self.used_at = float("-inf")
         self.balanced_at = float("-inf")
+        self.former: token_bucket.TokenBucket | None = None
+        self.handed_over: tuple[int, float] = (0, float("-inf"))
 
 
 class BucketOwner:
@@ -77,8 +87,37 @@
             owned.bucket = token_bucket.TokenBucket(rate, burst, owned_since=since, first_number=secrets.randbits(60))
             owned.owned_since = since
             _log.info("owner of the token bucket of {} in {} since {:.3f}", owned.name, self._domain, since)
+        self._use_handover(owned, owned.bucket)
         return owned.bucket
 
+    def _use_handover(self, owned: OwnedBucket, bucket: token_bucket.TokenBucket) -> None:
+        """Add the tokens that the former owner handed over, once."""
+        amount, expires = owned.handed_over
+        owned.handed_over = (0, float("-inf"))
+        if amount and self._clock.now() < expires:
+            bucket.add_level(amount, self._clock.now())
+
+    def prepare_handover(self, owned: OwnedBucket) -> None:
+        """Remember the bucket, if this VM owns it, so that its tokens can be handed over when it has left."""
+        owned.former = self.active_bucket(owned)
+        if owned.former is not None:
+            owned.former.advance(self._clock.now())
+
+    def take_former(self, owned: OwnedBucket) -> int:
+        """Return the level of the bucket that this VM owned until it left, once; 0 while it is still the owner.
+
+        Nothing accrues after the ownership has ended: the next owner may already accrue tokens of its own.
+        """
+        if self.active_bucket(owned) is not None or owned.former is None:
+            return 0
+        bucket, owned.former = owned.former, None
+        return bucket.level
+
+    def accept_handover(self, owned: OwnedBucket, amount: int) -> None:
+        """Keep the tokens of a former owner until this VM is the owner."""
+        owned.handed_over = (amount, self._clock.now() + HANDOVER_LIFETIME_S)
+        self.active_bucket(owned)
+
     def existing_bucket(self, owned: OwnedBucket) -> token_bucket.TokenBucket | None:
         """Return the existing bucket if this VM is still the owner; never create one."""
         return None if owned.bucket is None else self.active_bucket(owned)
--- a/src/currantlead/admission/service.py
+++ b/src/currantlead/admission/service.py
@@ -114,6 +114,19 @@
             while state.waiting:
                 self._resolve_first(state, leaving)
             self._send_reports(state, max_idle_s=0.0)
+            self._bucket_owner.prepare_handover(state.owned)
+
+    def hand_over(self, successor: Callable[[str], str | None]) -> None:
+        """Send the tokens of the buckets that this VM owned to their next owners; call it after this VM has left.
+
+        Args:
+            successor: Returns the next owner of an organisation's bucket in this failure domain, or None.
+        """
+        for state in self._states.values():
+            amount = self._bucket_owner.take_former(state.owned)
+            vm = successor(state.name)
+            if amount and vm is not None:
+                self._exchange.notify(vm, token_exchange.TokenRequest(state.name, handed_over=amount))
 
     def owned_buckets(self) -> list[tuple[str, float, float]]:
         """Return organisation, level and outstanding amount of each bucket that this VM owns."""
@@ -154,6 +167,9 @@
         request = wire.from_map(token_exchange.TokenRequest, body)
         if request.organisation not in self._directory.configuration.organisations:
             return wire.to_map(token_exchange.TokenReply(owner=False))
+        if request.handed_over:
+            self._bucket_owner.accept_handover(self._state(request.organisation).owned, request.handed_over)
+            return wire.to_map(token_exchange.TokenReply(owner=False))
         return wire.to_map(
             await self._bucket_owner.handle_request(sender, self._state(request.organisation).owned, request)
         )
--- a/src/currantlead/admission/token_bucket.py
+++ b/src/currantlead/admission/token_bucket.py
@@ -187,6 +187,11 @@
         if loan.expires > now and loan.amount > 0:
             self.loans.append(loan)
 
+    def add_level(self, amount: int, now: float) -> None:
+        """Add tokens that the previous owner of the bucket had left; those above the burst are lost."""
+        self.advance(now)
+        self.level += max(0, min(amount, self.room))
+
     def absorb_loans(self, now: float) -> None:
         """Move the unused part of loans to the level.
 
--- a/src/currantlead/admission/token_exchange.py
+++ b/src/currantlead/admission/token_exchange.py
@@ -27,6 +27,7 @@
         room: Amount that the borrower can add to its level.
         spent: (grant number, total spent) of grants.
         returned: (grant number, total spent) of grants that the sender returns.
+        handed_over: Level of the bucket of a former owner that has left; the receiver is to become the owner.
     """
 
     organisation: str
@@ -37,6 +38,7 @@
     room: int = 0
     spent: tuple[tuple[int, int], ...] = ()
     returned: tuple[tuple[int, int], ...] = ()
+    handed_over: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/currantlead/control/membership.py
+++ b/src/currantlead/control/membership.py
@@ -213,3 +213,11 @@
 def holders(assignment: RoleAssignment | None, instance: str) -> Sequence[str]:
     """Return the holders of an instance, or an empty sequence if there is no view."""
     return () if assignment is None else assignment.holders(instance)
+
+
+def next_owner(view: model.View | None, vm: str, organisation: str) -> str | None:
+    """Return the owner of an organisation's bucket after a VM has left the view, or None if nobody remains."""
+    if view is None:
+        return None
+    remaining = tuple(member for member in view.members if member.vm != vm)
+    return RoleAssignment(dataclasses.replace(view, members=remaining)).owner(organisation)
--- a/src/currantlead/daemon.py
+++ b/src/currantlead/daemon.py
@@ -21,6 +21,7 @@
     failover,
     instances,
     members,
+    membership,
     model,
     platform,
     records,
@@ -175,6 +176,11 @@
         self.division_writer.stop()
         self.collector.stop()
         await self.members.stop()
+        self.admission.hand_over(
+            lambda organisation: membership.next_owner(
+                self.directory.views.get(self.settings.domain), self.settings.vm, organisation
+            )
+        )
         await self.relay.stop()
         await self.network.stop()
         await self.platform.close()
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -159,6 +159,54 @@
     rates.run(scenario())
 
 
+def test_planned_stop_hands_tokens_to_the_next_owner():
+    """Guards against refusals within the rate after planned stops in turn, each of which emptied the buckets."""
+
+    async def scenario():
+        services, _, _, owners = rates.cluster(2, rate=1.0, burst=10.0, domains=("a",))
+        await _started(services)
+        assert await services["vm0"].admit("tenant") is None
+        await services["vm0"].stop()
+        owners["a"] = "vm1"
+        services["vm1"]._bucket_owner._membership.since = asyncio.get_running_loop().time()
+        services["vm0"].hand_over(lambda organisation: "vm1")
+        await asyncio.sleep(0.1)
+        results = [await services["vm1"].admit("tenant") for _ in range(10)]
+        assert results.count(None) == 9
+
+    rates.run(scenario())
+
+
+def test_tokens_are_handed_over_once_and_only_by_their_last_owner():
+    """Guards against tokens that a handover creates: of a bucket lost before the stop, repeated, or late."""
+
+    async def scenario():
+        services, _, _, owners = rates.cluster(3, rate=1.0, burst=10.0, domains=("a",))
+        await _started(services)
+        assert await services["vm0"].admit("tenant") is None
+        owners["a"] = "vm2"
+        await services["vm0"].stop()
+        services["vm0"].hand_over(lambda organisation: "vm1")
+        assert services["vm1"]._states == {}
+        owners["a"] = "vm0"
+        await services["vm0"].stop()
+        services["vm0"].hand_over(lambda organisation: "vm1")
+        await asyncio.sleep(0.1)
+        assert "tenant" not in services["vm1"]._states, "vm0 is still the owner"
+        owners["a"] = "vm1"
+        services["vm1"]._bucket_owner._membership.since = asyncio.get_running_loop().time()
+        services["vm0"].hand_over(lambda organisation: "vm1")
+        services["vm0"].hand_over(lambda organisation: "vm1")
+        await asyncio.sleep(0.5)
+        bucket = services["vm1"]._bucket_owner.active_bucket(services["vm1"]._state("tenant").owned)
+        assert bucket.level <= bucket.burst
+        levels = bucket.level
+        services["vm1"]._bucket_owner.accept_handover(services["vm1"]._state("tenant").owned, 10**9)
+        assert levels <= bucket.level <= bucket.burst
+
+    rates.run(scenario())
+
+
 class Platform:
     """Fake of the platform that holds the object of shares."""
 
