Reserve connections for single statements

The share of one organisation did not help, because the idle callers belong to many.

Change: orders that open a caller's transaction get at most 0.6 of a pool's connections, openings under way included; the rest serves single statements and position samples.

Result: tests/test_session_pool.py, cases for pools of 1 to 19 connections that fail on the code before.

--- a/src/currantlead/sessions/orders.py
+++ b/src/currantlead/sessions/orders.py
@@ -11,6 +11,8 @@
 from currantlead.platform import lines
 from currantlead.sessions import clock, link, model, statements
 
+OWN_REQUEST_ID = "-"
+"""Request id of statements that belong to no caller."""
 _codec = lines.InstanceCodec()
 
 
@@ -53,6 +55,11 @@
     commits: bool = False
     rolls_back: bool = False
 
+    @property
+    def opens_transaction(self) -> bool:
+        """Whether the order opens a caller's transaction, which keeps the connection until the caller ends it."""
+        return self.begin_mode is not BeginMode.NONE and not self.rolls_back and self.request_id != OWN_REQUEST_ID
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
--- a/src/currantlead/sessions/paths.py
+++ b/src/currantlead/sessions/paths.py
@@ -205,7 +205,13 @@
     ) -> tuple[orders.Report, Transaction | None]:
         """Run an order; see ``Path.run``."""
         deadline = clock.now() + wait_s + MAX_OVERRUN_S
-        connection = await self.pool.acquire(organisation, order.values, priority=priority, timeout_s=wait_s)
+        connection = await self.pool.acquire(
+            organisation,
+            order.values,
+            priority=priority,
+            timeout_s=wait_s,
+            opens_transaction=order.opens_transaction,
+        )
         if clock.now() > deadline:
             self.pool.release(connection)
             raise errors.PoolUnavailableError(f"a connection to {self.instance.id} became available too late")
--- a/src/currantlead/sessions/pool.py
+++ b/src/currantlead/sessions/pool.py
@@ -4,6 +4,7 @@
 import collections
 import dataclasses
 import itertools
+import math
 from collections.abc import Awaitable, Callable, Mapping
 
 from currantlead import errors, logs
@@ -18,6 +19,9 @@
 MIN_ORGANISATION_CONNECTIONS = 2
 """Connections that one organisation may use in any case; otherwise small pools would constantly reopen connections for
 other organisations."""
+TRANSACTION_SHARE = 0.6
+"""Share of the connections that transactions may use: callers that rest inside transactions would otherwise keep all
+connections from single statements, until the transactions have been idle for too long."""
 MAX_CONCURRENT_OPENINGS = 2
 """Maximum number of connections that a pool opens concurrently. Opening a connection occupies an execution slot of the
 instance. Many at once take so long that the waiters time out, while statements lack the slots."""
@@ -45,6 +49,7 @@
         waiting_since: Monotonic time at which the wait began.
         deadline: Monotonic time at which the wait ends.
         future: Receives the connection.
+        opens_transaction: Whether the statement opens a transaction that keeps the connection.
         opening: Whether a connection is being opened for it.
     """
 
@@ -54,6 +59,7 @@
     waiting_since: float
     deadline: float
     future: "asyncio.Future[link.Link]"
+    opens_transaction: bool = False
     opening: bool = False
 
 
@@ -82,6 +88,7 @@
         self._idle: list[link.Link] = []
         self._size = 0
         self._in_use: collections.Counter[str] = collections.Counter()
+        self._in_transaction: set[link.Link] = set()
         self._waiters: list[_Waiter] = []
         self._numbers = itertools.count()
         self._openings: set[asyncio.Task[None]] = set()
@@ -123,7 +130,13 @@
         return self._idle[-1].organisation if self._idle else ""
 
     async def acquire(
-        self, organisation: str, values: Mapping[str, str], *, priority: int, timeout_s: float
+        self,
+        organisation: str,
+        values: Mapping[str, str],
+        *,
+        priority: int,
+        timeout_s: float,
+        opens_transaction: bool = False,
     ) -> link.Link:
         """Return a connection of an organisation for exclusive use; the caller must release or discard it.
 
@@ -132,6 +145,8 @@
             values: Session values; a connection that already has them is preferred.
             priority: Priority among the waiters; 0 is the highest.
             timeout_s: Maximum wait, in seconds.
+            opens_transaction: Whether a transaction will keep the connection; only a share of them is available for
+                that.
 
         Raises:
             errors.PoolUnavailableError: No connection became available in time, or the pool is closed.
@@ -139,13 +154,13 @@
         """
         if self._closed:
             raise errors.PoolUnavailableError(f"{self.instance.id}: connection pool is closed")
-        connection = self._take_idle(organisation, values)
+        connection = self._take_idle(organisation, values) if self._admits(opens_transaction) else None
         if connection is not None:
-            self._in_use[organisation] += 1
+            self._mark_used(connection, opens_transaction)
             return connection
         future: asyncio.Future[link.Link] = asyncio.get_running_loop().create_future()
         now = clock.now()
-        waiter = _Waiter(priority, next(self._numbers), organisation, now, now + timeout_s, future)
+        waiter = _Waiter(priority, next(self._numbers), organisation, now, now + timeout_s, future, opens_transaction)
         self._waiters.append(waiter)
         self._open_for_waiters()
         try:
@@ -166,14 +181,31 @@
 
     def release(self, connection: link.Link) -> None:
         """Return a connection to the pool; it is closed if it cannot be reused."""
-        self._in_use[connection.organisation] -= 1
+        self._mark_unused(connection)
         self._assign_or_keep(connection)
 
     def discard(self, connection: link.Link) -> None:
         """Close a connection, so that another one can be opened in its place."""
-        self._in_use[connection.organisation] -= 1
+        self._mark_unused(connection)
         self._drop(connection)
 
+    def _mark_used(self, connection: link.Link, opens_transaction: bool) -> None:
+        self._in_use[connection.organisation] += 1
+        if opens_transaction:
+            self._in_transaction.add(connection)
+
+    def _mark_unused(self, connection: link.Link) -> None:
+        self._in_use[connection.organisation] -= 1
+        self._in_transaction.discard(connection)
+
+    def _admits(self, opens_transaction: bool) -> bool:
+        """Return whether a statement may get a connection: a share is reserved for those that open no transaction."""
+        if not opens_transaction:
+            return True
+        opening = sum(waiter.opening and waiter.opens_transaction for waiter in self._waiters)
+        available = min(self.limit - 1, math.ceil(self.limit * TRANSACTION_SHARE))
+        return len(self._in_transaction) + opening < max(1, available)
+
     def _assign_or_keep(self, connection: link.Link) -> None:
         """Assign an unused connection to a waiter, or keep it idle."""
         if self._closed or not connection.usable or self._size > self.limit:
@@ -235,12 +267,20 @@
             self._open(waiter)
 
     def _sorted_waiters(self) -> list[_Waiter]:
-        """Return the waiters by priority; within a priority, organisations that exceed their share come last."""
+        """Return the waiters that may get a connection, by priority; organisations over their share come last in it."""
 
         def key(waiter: _Waiter) -> tuple[int, bool, int]:
             return waiter.priority, self._exceeds_share(waiter.organisation), waiter.number
 
-        return sorted((waiter for waiter in self._waiters if not waiter.future.done()), key=key)
+        admits_transactions = self._admits(True)
+        return sorted(
+            (
+                waiter
+                for waiter in self._waiters
+                if not waiter.future.done() and (admits_transactions or not waiter.opens_transaction)
+            ),
+            key=key,
+        )
 
     def _exceeds_share(self, organisation: str) -> bool:
         return self._in_use[organisation] >= max(MIN_ORGANISATION_CONNECTIONS, self.limit * MAX_ORGANISATION_SHARE)
@@ -292,7 +332,7 @@
 
     def _assign(self, waiter: _Waiter, connection: link.Link) -> None:
         self._waiters.remove(waiter)
-        self._in_use[waiter.organisation] += 1
+        self._mark_used(connection, waiter.opens_transaction)
         waiter.future.set_result(connection)
 
     def _fail(self, waiter: _Waiter, error: Exception) -> None:
--- a/src/currantlead/sessions/sampling.py
+++ b/src/currantlead/sessions/sampling.py
@@ -27,8 +27,6 @@
 SAMPLE_TIMEOUT_S = 0.4
 """Time limit of a sample. Covers two round trips between regions (50 ms) and the time in the queue behind statements
 for the primary."""
-SAMPLE_REQUEST_ID = "-"
-"""Request id of transactions that only take a sample and belong to no caller."""
 SAMPLE_STATEMENT = "ROLLBACK"
 """Statement of a transaction that only takes a sample."""
 
@@ -185,7 +183,7 @@
             # and thus no traffic to sample for.
             return
         order = orders.Order(
-            SAMPLE_REQUEST_ID, SAMPLE_STATEMENT, {}, SAMPLE_TIMEOUT_S, begin_mode=orders.BeginMode.PRIMARY_ONLY
+            orders.OWN_REQUEST_ID, SAMPLE_STATEMENT, {}, SAMPLE_TIMEOUT_S, begin_mode=orders.BeginMode.PRIMARY_ONLY
         )
         try:
             report, _ = await direct.run(organisation, order, priority=0, wait_s=SAMPLE_TIMEOUT_S, check=lambda: None)
--- a/tests/test_session_pool.py
+++ b/tests/test_session_pool.py
@@ -54,9 +54,11 @@
     return pool.Pool(INSTANCE, limit, connector), connector
 
 
-async def acquire(connection_pool, organisation="a", priority=1, timeout_s=0.2):
+async def acquire(connection_pool, organisation="a", priority=1, timeout_s=0.2, opens_transaction=False):
     """Acquire a connection without session values."""
-    return await connection_pool.acquire(organisation, {}, priority=priority, timeout_s=timeout_s)
+    return await connection_pool.acquire(
+        organisation, {}, priority=priority, timeout_s=timeout_s, opens_transaction=opens_transaction
+    )
 
 
 async def test_connection_is_reused_by_its_organisation():
@@ -277,3 +279,32 @@
     with pytest.raises(errors.LinkRefusedError):
         await link.Link.connect(instance, "spinners")
     server.close()
+
+
+@pytest.mark.parametrize(("limit", "available"), [(1, 1), (2, 1), (3, 2), (8, 5), (19, 12)])
+async def test_idle_transactions_leave_connections_for_single_statements(limit, available):
+    """Load pattern: callers of many organisations rest inside transactions, and single statements go on meanwhile.
+
+    All connections of a primary were taken, and every statement of its service was refused for seconds.
+    """
+    connection_pool, _ = make_pool(limit)
+    resting = [await acquire(connection_pool, f"idler-{number}", opens_transaction=True) for number in range(available)]
+    with pytest.raises(errors.PoolUnavailableError):
+        await acquire(connection_pool, "idler-x", opens_transaction=True, timeout_s=0.05)
+    for _ in range(3 if limit > 1 else 0):
+        connection_pool.release(await acquire(connection_pool, "a", timeout_s=0.05))
+    waiting = asyncio.create_task(acquire(connection_pool, "idler-x", opens_transaction=True))
+    await asyncio.sleep(0.01)
+    connection_pool.release(resting[0])
+    assert (await waiting).organisation == "idler-x"
+
+
+async def test_transactions_that_are_being_opened_count():
+    """Slow openings must not let more transactions in than their share."""
+    connection_pool, connector = make_pool(limit=3)
+    connector.gate.clear()
+    tasks = [asyncio.create_task(acquire(connection_pool, name, opens_transaction=True)) for name in "abc"]
+    await asyncio.sleep(0.01)
+    connector.gate.set()
+    outcomes = await asyncio.gather(*tasks, return_exceptions=True)
+    assert sum(isinstance(outcome, errors.PoolUnavailableError) for outcome in outcomes) == 1
