--- a/src/currantlead/sessions/daemon.py
+++ b/src/currantlead/sessions/daemon.py
@@ -35,6 +35,7 @@
     shared_state,
     store,
     succession,
+    targets,
     token_buckets,
     token_exchange,
 )
@@ -112,12 +113,17 @@
         self.sampler = sampling.Sampler(
             self.fleet, self.position_samples, self.connections, self.network, lambda: not self.mirror.uses_relay
         )
-        self.executor = execution.Executor(
+        self.targets = targets.TargetSelector(
             self.fleet,
             self.position_samples,
             self.connections.path_of,
             domain=config.domain,
             region=config.region_of.get(config.domain, ""),
+        )
+        self.executor = execution.Executor(
+            self.fleet,
+            self.position_samples,
+            self.targets,
             metrics=self.metrics,
             fetch_sample=self.sampler.fetch,
         )
@@ -251,7 +257,7 @@
         self.settings = loaded
         self.configuration_age.apply_bounds(loaded.bounds)
         self.fleet.apply_settings(loaded.bounds, loaded.region_of)
-        self.executor.region = loaded.region_of.get(loaded.domain, "")
+        self.targets.region = loaded.region_of.get(loaded.domain, "")
         self.token_buckets.apply_bounds(loaded.bounds)
         self._handle_limits_changed()
 
--- a/src/currantlead/sessions/execution.py
+++ b/src/currantlead/sessions/execution.py
@@ -11,9 +11,8 @@
     model,
     operations,
     orders,
-    paths,
-    placement,
     statements,
+    targets,
     waiting,
 )
 
@@ -33,24 +32,17 @@
     Args:
         instances: The known instances.
         samples: Samples of the primaries' positions.
-        path_of: Returns the path to an instance.
-        domain: Failure domain of this VM.
-        region: Initial value of the attribute.
+        selector: Chooses the instance for each attempt.
         metrics: Metrics of this VM.
         fetch_sample: Fetches a sample for a service that has none.
-
-    Attributes:
-        region: Region of this VM.
     """
 
     def __init__(
         self,
         instances: fleet.Fleet,
         samples: freshness.PositionSamples,
-        path_of: Callable[[model.Instance], paths.Path],
+        selector: targets.TargetSelector,
         *,
-        domain: str,
-        region: str,
         metrics: metric_registry.MetricRegistry,
         fetch_sample: Callable[[str], Awaitable[None]],
     ):
@@ -58,9 +50,7 @@
         self._fetch_sample = fetch_sample
         self._fleet = instances
         self._samples = samples
-        self._path_of = path_of
-        self._domain = domain
-        self.region = region
+        self._targets = selector
 
     async def run_autocommit(
         self, context: operations.Context, request_id: str, statement: statements.Statement
@@ -172,15 +162,15 @@
         objective_s = min(context.route.target_latency_s, context.route.timeout_s)
         wait = waiting.Wait(began_at, objective_s, context.route.timeout_s)
         awaited_failover = False
-        if not writes and self._lacks_sample(context):
+        if not writes and self._targets.lacks_sample(context):
             await self._fetch_sample(context.route.service)
         tried_ids: set[str] = set()
         last_outcome = operations.Outcome.refused(statements.Code.BUSY, "no instance available")
         while True:
             now = clock.now()
-            target = self._choose_target(context, writes, tried_ids, now)
+            target = self._targets.choose(context, writes, tried_ids, now)
             if target is None:
-                awaits_failover = self._awaits_failover(context, writes)
+                awaits_failover = self._targets.awaits_failover(context, writes)
                 wait_until = wait.failover_until() if awaits_failover else wait.until
                 if now >= wait_until:
                     return last_outcome, None
@@ -207,7 +197,7 @@
                 wait.extend_for_busy_instance()
             last_outcome = outcome
             tried_ids.add(target.tracked.instance.id)
-            if clock.now() >= wait.until and not self._awaits_failover(context, writes):
+            if clock.now() >= wait.until and not self._targets.awaits_failover(context, writes):
                 return last_outcome, None
 
     async def _run_attempt(
@@ -226,7 +216,7 @@
                 order,
                 priority=context.route.priority,
                 wait_s=wait_s,
-                check=lambda: context.check() or self._check_target(target),
+                check=lambda: context.check() or self._targets.check(target),
             )
         except errors.OrderRefusedError as error:
             return operations.Outcome((), error.failure, None, may_have_run=False), None
@@ -299,93 +289,6 @@
             self._fleet.mark_not_primary(instance.id)
         return True
 
-    def _lacks_sample(self, context: operations.Context) -> bool:
-        since = context.began_at - context.route.max_staleness_s
-        return (
-            context.route.consistency is not model.Consistency.PRIMARY
-            and self._samples.oldest_since(context.route.service, since) is None
-        )
-
-    def _choose_target(
-        self, context: operations.Context, writes: bool, tried_ids: set[str], now: float
-    ) -> operations.Target | None:
-        """Return the target of the next attempt, or None if no instance is left."""
-        service = context.route.service
-        if not writes and context.route.consistency is not model.Consistency.PRIMARY:
-            sample = self._samples.oldest_since(service, context.began_at - context.route.max_staleness_s)
-            if sample is not None:
-                after = max(sample.position, context.last_commit_position or sample.position)
-                return self._choose_read_target(context, after, sample.asked_at, tried_ids, now)
-        primary = self._fleet.primary(service)
-        if primary is None or primary.instance.id in tried_ids or not self._fleet.accepts_primary_work(primary):
-            return None
-        if self._has_failed(primary) or not self._is_region_allowed(context, primary):
-            return None
-        return operations.Target(primary, self._path_of(primary.instance), None)
-
-    def _awaits_failover(self, context: operations.Context, writes: bool) -> bool:
-        """Return whether a statement needs the primary, and the primary has to be replaced or does not respond."""
-        if (
-            not writes
-            and context.route.consistency is not model.Consistency.PRIMARY
-            and not self._lacks_sample(context)
-        ):
-            return False
-        primary = self._fleet.primary(context.route.service)
-        return primary is None or not self._fleet.accepts_primary_work(primary) or self._has_failed(primary)
-
-    def _has_failed(self, primary: fleet.TrackedInstance) -> bool:
-        """Return whether a primary does not respond to anyone, so that statements wait for its successor."""
-        latest = self._samples.latest(primary.instance.service)
-        return self._fleet.awaits_failover(primary, latest.asked_at if latest is not None else float("-inf"))
-
-    def _choose_read_target(
-        self, context: operations.Context, after: model.Position, sampled_at: float, tried_ids: set[str], now: float
-    ) -> operations.Target | None:
-        primary = self._fleet.primary(context.route.service)
-        targets = {}
-        candidates = []
-        for tracked in self._fleet.instances_of(context.route.service):
-            if (
-                tracked.instance.id in tried_ids
-                or not self._accepts_work(tracked)
-                or not self._is_region_allowed(context, tracked)
-            ):
-                continue
-            path = self._path_of(tracked.instance)
-            lagging = tracked.lagging is not None and tracked.lagging[0] <= after and now < tracked.lagging[1]
-            targets[tracked.instance.id] = operations.Target(tracked, path, after, sampled_at)
-            candidates.append(
-                placement.Candidate(
-                    id=tracked.instance.id,
-                    distance=placement.distance(
-                        self._domain, self.region, tracked.instance.domain, self._fleet.region(tracked)
-                    ),
-                    primary=tracked is primary,
-                    suspect=self._fleet.is_suspect(tracked),
-                    lagging=lagging,
-                    saturated=path.saturated,
-                    free_connection=path.has_idle(context.organisation),
-                    waiting=path.waiting,
-                )
-            )
-        sorted_candidates = placement.sort_candidates(candidates)
-        return targets[sorted_candidates[0].id] if sorted_candidates else None
-
-    def _check_target(self, target: operations.Target) -> statements.Failure | None:
-        """Return why the instance no longer accepts statements after the wait for a connection, or None."""
-        tracked = self._fleet.get(target.tracked.instance.id)
-        if tracked is not None and self._accepts_work(tracked):
-            return None
-        return statements.Failure(statements.Code.BUSY, f"{target.tracked.instance.id} accepts no new work")
-
-    def _accepts_work(self, tracked: fleet.TrackedInstance) -> bool:
-        is_primary = self._fleet.primary(tracked.instance.service) is tracked
-        return self._fleet.accepts_primary_work(tracked) if is_primary else self._fleet.accepts_reads(tracked)
-
-    def _is_region_allowed(self, context: operations.Context, tracked: fleet.TrackedInstance) -> bool:
-        return not context.regions or self._fleet.region(tracked) in context.regions
-
 
 def _build_order(
     context: operations.Context,
