List the members at the start under the lock of the shared connection

Cause: Store.load used the shared connection without its lock, so a list and a registration could be sent on it at once, which ends both with a protocol error and a new attempt, most likely while the store is slow.

Result: tests/test_store_follow.py, fails on the code before.

--- a/src/currantlead/sessions/store.py
+++ b/src/currantlead/sessions/store.py
@@ -155,7 +155,7 @@
             errors.PlatformUnavailableError: The store refused the call.
             errors.MalformedObjectError: The response is malformed.
         """
-        follower.revision, confirmed_at = await self._list(self._client, follower)
+        follower.revision, confirmed_at = await self._list(None, follower)
         follower.on_confirmed(confirmed_at)
 
     async def follow(self, follower: Follower) -> None:
@@ -200,8 +200,13 @@
                 if not follower.retries_during_outage:
                     await self._available.wait()
 
-    async def _list(self, client: http.HttpClient, follower: Follower) -> tuple[int, float]:
-        """Read the complete list; return its revision and the clock reading at the start of the call."""
+    async def _list(self, client: http.HttpClient | None, follower: Follower) -> tuple[int, float]:
+        """Read the complete list; return its revision and the clock reading at the start of the call.
+
+        Args:
+            client: Connection to use; None for the shared one.
+            follower: Receives the list.
+        """
         requested_at = clock.now()
         listed: list[objects.StoredObject] = []
         after, revision = "", None
--- a/tests/test_store_follow.py
+++ b/tests/test_store_follow.py
@@ -179,3 +179,21 @@
     await asyncio.sleep(0.6)
     assert callbacks.names == {"main", "first", "second"}
     assert callbacks.age_s < 0.6
+
+
+async def test_list_at_the_start_shares_its_connection_with_other_calls():
+    """A VM lists the members while it registers; two calls at once on one connection would break both."""
+    store_server = object_store.ObjectStore()
+    await store_server.start()
+    client = store.Store(settings.Address("127.0.0.1", store_server.port))
+    callbacks = RecordedCallbacks()
+    follower = store.Follower("members", 0.4, callbacks.listed, callbacks.changed)
+    created = await asyncio.gather(
+        *(client.create("members", f"vm-{number}", {}) for number in range(5)),
+        *(client.load(follower) for _ in range(5)),
+        *(client.create("members", f"vm-{number}", {}) for number in range(5, 10)),
+    )
+    assert sum(item is not None for item in created) == 10
+    await client.load(follower)
+    assert len(callbacks.names) == 10
+    await store_server.stop()
