Open the connection before the calls of the test of shared connections

The test passed on the code before, because each call opened a connection of its own; with an open one it fails there with a protocol error.

--- a/tests/test_store_follow.py
+++ b/tests/test_store_follow.py
@@ -188,12 +188,14 @@
     client = store.Store(settings.Address("127.0.0.1", store_server.port))
     callbacks = RecordedCallbacks()
     follower = store.Follower("members", 0.4, callbacks.listed, callbacks.changed)
+    await client.load(follower)
     created = await asyncio.gather(
         *(client.create("members", f"vm-{number}", {}) for number in range(5)),
         *(client.load(follower) for _ in range(5)),
         *(client.create("members", f"vm-{number}", {}) for number in range(5, 10)),
     )
     assert sum(item is not None for item in created) == 10
+    assert len(store_server.calls) == 16, "no call failed and was repeated"
     await client.load(follower)
     assert len(callbacks.names) == 10
     await store_server.stop()
