Let the soak strike the whole fleet, and reload settings

The soak killed and stopped one daemon at a time, never reloaded settings, and seldom revoked a key while a daemon had no store.

--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,7 @@
 endif
 
 soak: setup
-	$(BIN)/python -m tools.users_demo --seed $(SEED) --seconds 30
+	$(BIN)/python -m tools.users_demo --seed $(SEED) --seconds 30 --fleet
 
 bench: setup
 	$(BIN)/python -m tools.bench
--- a/tests/process/test_session_soak.py
+++ b/tests/process/test_session_soak.py
@@ -20,14 +20,33 @@
 ]
 
 
+FLEET_SEED = 401
+"""A power cut, a reload, lost answers, and a key revoked while a daemon cannot reach the store."""
+
+
+def _run_soak(seed, *options):
+    """Run the soak test and return its result."""
+    command = [sys.executable, "-m", "tools.users_demo", "--seed", str(seed), *options]
+    completed = subprocess.run(command, capture_output=True, text=True, timeout=50)
+    return json.loads(completed.stdout.splitlines()[-1])
+
+
 @pytest.mark.processes
 @pytest.mark.xdist_group("processes-3")
 @pytest.mark.parametrize(("seed", "cause"), SEEDS)
 def test_guarantees_hold_under_random_faults(seed, cause):
     """Guards against lost, duplicated or torn writes, stale reads and false refusals under random faults."""
-    command = [sys.executable, "-m", "tools.users_demo", "--seed", str(seed), "--seconds", "8"]
-    completed = subprocess.run(command, capture_output=True, text=True, timeout=50)
-    result = json.loads(completed.stdout.splitlines()[-1])
+    result = _run_soak(seed, "--seconds", "8")
     violations = {name: result[name] for name in VIOLATIONS if result[name]}
     assert not violations, (cause, result)
     assert result["completed"] > 0
+
+
+@pytest.mark.processes
+@pytest.mark.xdist_group("processes-3")
+def test_guarantees_hold_under_faults_of_the_whole_fleet():
+    """Guards against violations while all daemons restart, reload their settings, or one takes a revoked key."""
+    result = _run_soak(FLEET_SEED, "--seconds", "14", "--fleet")
+    assert not {name: result[name] for name in VIOLATIONS if result[name]}, result
+    assert {"power_cut", "reload", "withdraw_key_from_isolated"} <= set(result["faults"])
+    assert result["completed"] > 0
--- a/tools/users_demo.py
+++ b/tools/users_demo.py
@@ -5,7 +5,9 @@
 and may overlap: daemons are killed, shut down and suspended; connections are delayed, reset, or lose data in one or
 both directions; the primary becomes unresponsive, replicas lag, and the store refuses requests. With an odd seed, the
 instances accept fewer connections than there are daemons, so that holders run the statements of other daemons. A
-second organisation sends more than its rate limit, and its API key is revoked and restored.
+second organisation sends more than its rate limit, and its API key is revoked and restored. With ``--fleet``, all
+daemons are also killed at once or shut down in turn, settings are reloaded, and the key is revoked while a daemon
+cannot reach the store.
 """
 
 import argparse
@@ -27,6 +29,7 @@
 from currantlead.platform import settings_file
 from tests import session_bed
 from tests.standins import line_instance, loopback_proxy, object_store
+from tools import soak_faults
 
 VMS = 4
 SESSIONS = 24
@@ -153,6 +156,10 @@
             await self.process.wait()
             await asyncio.sleep(0.3)
 
+    def change_settings(self, old: str, new: str) -> None:
+        """Replace a text in the settings file."""
+        self._settings.write_text(self._settings.read_text().replace(old, new))
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process if it is running."""
         if self.process is not None and self.process.returncode is None:
@@ -172,44 +179,52 @@
 class Soak:
     """One run of the soak test."""
 
-    def __init__(self, seed: int, seconds: float, directory: pathlib.Path):
+    def __init__(self, seed: int, seconds: float, directory: pathlib.Path, *, fleet_faults: bool = False):
+        """Create a run.
+
+        Args:
+            seed: Seed of the faults and the load.
+            seconds: Duration of the load.
+            directory: Directory for settings and logs.
+            fleet_faults: Whether faults of the whole fleet come besides the others; the seeds of regression cases
+                were recorded without them.
+        """
         self.result = Result(seed)
-        self._random = random.Random(seed)
+        self._fault_names = sorted(soak_faults.FAULTS if fleet_faults else soak_faults.SINGLE_FAULTS)
+        self.random = random.Random(seed)
         self._seconds = seconds
         self._directory = directory
         self._acknowledged: list[tuple[str, str, str]] = []
         self._not_run: set[str] = set()
         self._transactions: list[tuple[str, str]] = []
         self._unexpected_reads: list[tuple[str, str, str, str]] = []
-        self._store = object_store.ObjectStore()
+        self.store = object_store.ObjectStore()
         self._service_limit = FEW_CONNECTIONS if seed % 2 else 16
         instance_limit = FEW_CONNECTIONS if seed % 2 else 24
-        self._service = line_instance.Service(
-            session_bed.SERVICE, ["i-1", "i-2", "i-3"], max_connections=instance_limit
-        )
-        self._proxies: dict[str, loopback_proxy.LoopbackProxy] = {}
-        self._vms: list[DaemonProcess] = []
+        self.service = line_instance.Service(session_bed.SERVICE, ["i-1", "i-2", "i-3"], max_connections=instance_limit)
+        self.proxies: dict[str, loopback_proxy.LoopbackProxy] = {}
+        self.vms: list[DaemonProcess] = []
         self._end = 0.0
         self._version = 1
-        self._revocations: list[tuple[float, float]] = []
+        self.revocations: list[tuple[float, float]] = []
         self._limited_writes: list[tuple[float, str]] = []
 
     async def run(self) -> Result:
         """Start all components, run the load with faults, and check the results."""
-        await self._store.start()
-        await self._service.start()
-        self._store.promote = self._promote
-        self._store.rewrite = self._rewrite_peer_port
-        self._configure(limited_keys=[LIMITED_KEY])
-        for name, instance in self._service.instances.items():
+        await self.store.start()
+        await self.service.start()
+        self.store.promote = self._promote
+        self.store.rewrite = self._rewrite_peer_port
+        self.configure(with_limited_key=True)
+        for name, instance in self.service.instances.items():
             await self._add_proxy(name, instance.port)
-            self._register(name)
+            self.register(name)
         for number in range(VMS):
             vm = f"vm-{number}"
-            store_port = await self._add_proxy(f"store of {vm}", self._store.port)
-            self._vms.append(DaemonProcess(vm, f"z{number % 3 + 1}", store_port, self._directory))
-            await self._add_proxy(f"peers of {vm}", self._vms[-1].peer_port)
-        for vm in self._vms:
+            store_port = await self._add_proxy(f"store of {vm}", self.store.port)
+            self.vms.append(DaemonProcess(vm, f"z{number % 3 + 1}", store_port, self._directory))
+            await self._add_proxy(f"peers of {vm}", self.vms[-1].peer_port)
+        for vm in self.vms:
             vm.start()
         try:
             await asyncio.sleep(1.5)
@@ -220,32 +235,32 @@
             sessions += [self._run_limited_session(number) for number in range(LIMITED_SESSIONS)]
             await asyncio.gather(self._inject_faults(), *sessions)
         finally:
-            for vm in self._vms:
+            for vm in self.vms:
                 await vm.stop()
-            for proxy in self._proxies.values():
+            for proxy in self.proxies.values():
                 proxy.stop()
-            await self._service.stop()
-            await self._store.stop()
+            await self.service.stop()
+            await self.store.stop()
         self._check()
         return self.result
 
-    def _configure(self, *, limited_keys: list[str]) -> None:
-        """Store the next version of the configuration."""
+    def configure(self, *, with_limited_key: bool) -> None:
+        """Store the next version of the configuration, with or without the key of the second organisation."""
         organisation = {"name": session_bed.ORGANISATION, "apiKeys": [session_bed.KEY], "ratePerS": 1e4, "burst": 1e4}
         limited = {
             "name": LIMITED_ORGANISATION,
-            "apiKeys": limited_keys,
+            "apiKeys": [LIMITED_KEY] if with_limited_key else [],
             "ratePerS": LIMITED_RATE,
             "burst": LIMITED_RATE,
         }
         services = [{"name": session_bed.SERVICE, "maxConns": self._service_limit, "syncReplicas": 1}]
         state = session_bed.configuration(self._version, services=services, tenants=[organisation, limited])
-        self._store.put("config", "main", state)
+        self.store.put("config", "main", state)
         self._version += 1
 
     async def _add_proxy(self, name: str, target_port: int) -> int:
         """Start a proxy in front of a port and return the port of the proxy."""
-        proxy = self._proxies[name] = loopback_proxy.LoopbackProxy(target_port)
+        proxy = self.proxies[name] = loopback_proxy.LoopbackProxy(target_port)
         await proxy.start(session_bed.free_port())
         return proxy.port
 
@@ -253,22 +268,23 @@
         """Replace a daemon's peer port with its proxy's port; the proxy forwards only TCP, so datagrams are lost."""
         if kind != "members":
             return value
-        for vm in self._vms:
+        for vm in self.vms:
             if vm.peer_port == value["peerPort"]:
-                return value | {"peerPort": self._proxies[f"peers of {vm.name}"].port}
+                return value | {"peerPort": self.proxies[f"peers of {vm.name}"].port}
         return value
 
-    def _register(self, name: str) -> None:
-        instance = self._service.instances[name]
-        port = self._proxies[name].port
+    def register(self, name: str) -> None:
+        """Write the entry of an instance that is ready to the store."""
+        instance = self.service.instances[name]
+        port = self.proxies[name].port
         entry = {"service": session_bed.SERVICE, "addr": f"127.0.0.1:{port}", "zone": f"z{name[-1]}"}
         entry |= {"state": "ready", "dbRole": "primary" if instance.is_primary else "replica", "born": 1}
-        self._store.put("servers", name, entry)
+        self.store.put("servers", name, entry)
 
     def _promote(self, service: str, instance_id: str) -> bool:
-        promoted = self._service.promote(instance_id)
-        for name in self._service.instances:
-            self._register(name)
+        promoted = self.service.promote(instance_id)
+        for name in self.service.instances:
+            self.register(name)
         return promoted
 
     async def _run_session(self, number: int, rng: random.Random) -> None:
@@ -324,7 +340,7 @@
                 caller = None
 
     async def _connect(self, rng: random.Random, key: str = session_bed.KEY) -> session_bed.Caller | None:
-        vm = rng.choice(self._vms)
+        vm = rng.choice(self.vms)
         async with asyncio.timeout(1.0):
             caller = session_bed.Caller(*await asyncio.open_connection("127.0.0.1", vm.port))
             answer = await caller.request(f"START own-db {key}")
@@ -386,103 +402,19 @@
         """Start random faults at random intervals; they may overlap."""
         running: set[asyncio.Task[None]] = set()
         while time.monotonic() < self._end - 4.0:
-            await asyncio.sleep(self._random.uniform(0.5, 2.0))
-            name = self._random.choice(sorted(FAULTS))
+            await asyncio.sleep(self.random.uniform(0.5, 2.0))
+            name = self.random.choice(self._fault_names)
             self.result.faults.append(name)
             _console.print(f"fault: {name}")
-            running.add(asyncio.create_task(FAULTS[name](self)))
+            running.add(asyncio.create_task(soak_faults.FAULTS[name](self)))
         await asyncio.gather(*running)
 
-    async def _apply_fault(self, to_target: loopback_proxy.Fault, from_target: loopback_proxy.Fault) -> None:
-        proxy = self._random.choice(list(self._proxies.values()))
-        proxy.to_target, proxy.from_target = to_target, from_target
-        await asyncio.sleep(self._random.uniform(0.5, 4.0))
-        proxy.clear_faults()
-
-    async def delay(self) -> None:
-        """Delay the data in both directions through one proxy."""
-        fault = loopback_proxy.Fault(delay_s=self._random.uniform(0.05, 0.6))
-        await self._apply_fault(fault, fault)
-
-    async def cut_one_way(self) -> None:
-        """Drop the data in one direction through one proxy."""
-        dropped, none = loopback_proxy.Fault(dropped=True), loopback_proxy.Fault()
-        await self._apply_fault(*((dropped, none) if self._random.random() < 0.5 else (none, dropped)))
-
-    async def silence_connections(self) -> None:
-        """Drop the data in both directions through one proxy."""
-        dropped = loopback_proxy.Fault(dropped=True)
-        await self._apply_fault(dropped, dropped)
-
-    async def reset(self) -> None:
-        """Reset the connections through one proxy."""
-        self._random.choice(list(self._proxies.values())).reset()
-
-    async def kill(self) -> None:
-        """Kill a daemon."""
-        self._random.choice(self._vms).signal(signal.SIGKILL)
-
-    async def stop(self) -> None:
-        """Shut a daemon down gracefully."""
-        self._random.choice(self._vms).signal(signal.SIGTERM)
-
-    async def pause(self) -> None:
-        """Suspend a daemon temporarily."""
-        vm = self._random.choice(self._vms)
-        vm.signal(signal.SIGSTOP)
-        await asyncio.sleep(self._random.uniform(0.2, 2.0))
-        vm.signal(signal.SIGCONT)
-
-    async def silence(self) -> None:
-        """Make the primary temporarily unresponsive."""
-        instance = self._service.instances[self._service.primary]
-        instance.unresponsive = True
-        await asyncio.sleep(self._random.uniform(1.0, 3.0))
-        instance.unresponsive = False
-
-    async def lag(self) -> None:
-        """Set random replication lags."""
-        self._service.lag_s = {name: self._random.uniform(0.1, 3.0) for name in self._service.instances}
-
-    async def lose_answers(self) -> None:
-        """Drop the next responses of an instance."""
-        self._random.choice(list(self._service.instances.values())).lose_answers = self._random.randrange(1, 4)
-
-    async def refuse_store(self) -> None:
-        """Make the store temporarily refuse requests or drop responses."""
-        fault = self._random.choice([429, 503, "reset", "lost"])
-        self._store.fault = lambda method, path: fault
-        await asyncio.sleep(self._random.uniform(0.5, 8.0))
-        self._store.fault = lambda method, path: None
-
-    async def withdraw_key(self) -> None:
-        """Revoke the API key of the second organisation and restore it later."""
-        if self._revocations and self._revocations[-1][1] == float("inf"):
-            return
-        self._configure(limited_keys=[])
-        self._revocations.append((time.monotonic(), float("inf")))
-        await asyncio.sleep(self._random.uniform(6.0, 9.0))
-        self._revocations[-1] = self._revocations[-1][0], time.monotonic()
-        self._configure(limited_keys=[LIMITED_KEY])
-
-    async def forget_history(self) -> None:
-        """Drop the event history of the store."""
-        self._store.drop_history()
-
-    async def drain_primary(self) -> None:
-        """Mark the primary as draining for 2 s."""
-        name = self._service.primary
-        entry = self._store.objects["servers"][name]["spec"]
-        self._store.put("servers", name, entry | {"state": "draining"})
-        await asyncio.sleep(2.0)
-        self._register(name)
-
     def _check(self) -> None:
         """Check the reported results against the commit log."""
-        committed = collections.Counter(request for commit in self._service.log for request, _, _ in commit.writes)
+        committed = collections.Counter(request for commit in self.service.log for request, _, _ in commit.writes)
         limited = [
             commit.committed_at
-            for commit in self._service.log
+            for commit in self.service.log
             if any(name.startswith("limited") for name, _, _ in commit.writes)
         ]
         max_operations = (LIMITED_RATE * RATE_WINDOW_S + LIMITED_RATE) * (1 + RATE_EXCESS) + RATE_SLACK
@@ -492,11 +424,11 @@
         self.result.after_revocation = sum(
             revoked_at + MAX_REVOCATION_DELAY_S < sent_at < restored_at
             for sent_at, _ in self._limited_writes
-            for revoked_at, restored_at in self._revocations
+            for revoked_at, restored_at in self.revocations
         )
         # A write with an unknown outcome may be committed after a later write of its session; the log order decides.
         order = {
-            (item, data): index for index, commit in enumerate(self._service.log) for _, item, data in commit.writes
+            (item, data): index for index, commit in enumerate(self.service.log) for _, item, data in commit.writes
         }
         for request, item, found, written in self._unexpected_reads:
             if order.get((item, found), -1) < order.get((item, written), -1):
@@ -508,35 +440,18 @@
         self.result.false_not_run = sum(request in committed for request in self._not_run)
 
 
-FAULTS = {
-    "kill": Soak.kill,
-    "stop": Soak.stop,
-    "pause": Soak.pause,
-    "silence": Soak.silence,
-    "delay": Soak.delay,
-    "cut_one_way": Soak.cut_one_way,
-    "silence_connections": Soak.silence_connections,
-    "reset": Soak.reset,
-    "lag": Soak.lag,
-    "lose_answers": Soak.lose_answers,
-    "refuse_store": Soak.refuse_store,
-    "withdraw_key": Soak.withdraw_key,
-    "forget_history": Soak.forget_history,
-    "drain_primary": Soak.drain_primary,
-}
-
-
 def main() -> int:
     """Run one seed, print the summary as one JSON line, and return 1 if a guarantee was violated."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20.0, help="duration of the load in seconds")
     parser.add_argument("--keep", type=pathlib.Path, help="directory for settings and logs that is kept after the run")
+    parser.add_argument("--fleet", action="store_true", help="also inject faults of the whole fleet")
     options = parser.parse_args()
     with tempfile.TemporaryDirectory() as temporary:
         directory = options.keep or pathlib.Path(temporary)
         directory.mkdir(parents=True, exist_ok=True)
-        result = asyncio.run(Soak(options.seed, options.seconds, directory).run())
+        result = asyncio.run(Soak(options.seed, options.seconds, directory, fleet_faults=options.fleet).run())
     print(json.dumps(dataclasses.asdict(result)))
     return 0 if result.is_consistent() else 1
 
