--- a/tests/process/test_drain.py
+++ b/tests/process/test_drain.py
@@ -60,14 +60,19 @@
         await asyncio.to_thread(harness.operate, running, f"return domain {domain}", vm="naousa-1")
         await asyncio.sleep(3.0)
         returned = [_statement_count(running, instance), *(_answer_count(running, vm) for vm in vms)]
-        return before, after, returned
+        return before, after, returned, time.monotonic()
 
     async with harness.http_client() as http:
-        sent = harness.LoadGenerator(running, http, rate=80.0, seed=6, through_balancer=True).run(12.0)
-        results, (before, after, returned) = await asyncio.gather(sent, drain_and_return())
+        # The two commands take up to several seconds on a busy machine; the load has to go on until the last count.
+        started, load_s = time.monotonic(), 20.0
+        sent = harness.LoadGenerator(running, http, rate=80.0, seed=6, through_balancer=True).run(load_s)
+        results, (before, after, returned, counted_at) = await asyncio.gather(sent, drain_and_return())
         ledger = await harness.compare(running, http, results)
     completed = sum(result.verdict == load.COMPLETED for result in results)
+    counted_after_s = counted_at - started
     print(f"sent {len(results)}, completed {completed}, work {before} {after} {returned}, {ledger}")
+    print(f"last count after {counted_after_s:.1f} s")
+    assert counted_after_s < load_s
     assert before == after
     assert all(new > old for old, new in zip(after, returned, strict=True))
     assert _cut_requests(results) == []
--- a/tools/users_demo.py
+++ b/tools/users_demo.py
@@ -22,6 +22,7 @@
 import sys
 import tempfile
 import time
+import urllib.request
 from typing import Any
 
 import rich.console
@@ -33,6 +34,8 @@
 
 VMS = 4
 SESSIONS = 24
+START_TIMEOUT_S = 20.0
+"""Longest time for all daemons to become ready."""
 MEAN_PAUSE_S = 0.03
 """Mean pause between two statements of a session, in seconds."""
 FEW_CONNECTIONS = 3
@@ -120,6 +123,7 @@
         self.name = name
         self.port = session_bed.free_port()
         self.peer_port = session_bed.free_port()
+        self._readiness_port = session_bed.free_port()
         self._metrics_port = session_bed.free_port()
         self._settings = directory / f"{name}.toml"
         self._settings.write_text(
@@ -128,7 +132,7 @@
                 domain=domain,
                 peers=self.peer_port,
                 callers=self.port,
-                readiness=session_bed.free_port(),
+                readiness=self._readiness_port,
                 store=store_port,
             )
         )
@@ -156,6 +160,18 @@
             await self.process.wait()
             await asyncio.sleep(0.3)
 
+    async def wait_until_ready(self) -> None:
+        """Wait until the daemon accepts sessions; cancel it with a time-out."""
+        while not await asyncio.to_thread(self._is_ready):  # noqa: ASYNC110
+            await asyncio.sleep(0.1)
+
+    def _is_ready(self) -> bool:
+        try:
+            with urllib.request.urlopen(f"http://127.0.0.1:{self._readiness_port}/", timeout=1.0) as response:
+                return response.status == 200
+        except OSError:
+            return False
+
     def change_settings(self, old: str, new: str) -> None:
         """Replace a text in the settings file."""
         self._settings.write_text(self._settings.read_text().replace(old, new))
@@ -227,7 +243,9 @@
         for vm in self.vms:
             vm.start()
         try:
-            await asyncio.sleep(1.5)
+            # On a busy machine the start takes seconds; faults that strike earlier could last for the whole run.
+            async with asyncio.timeout(START_TIMEOUT_S):
+                await asyncio.gather(*(vm.wait_until_ready() for vm in self.vms))
             self._end = time.monotonic() + self._seconds
             sessions = [
                 self._run_session(number, random.Random(f"{self.result.seed}/{number}")) for number in range(SESSIONS)
