Add currantlead status, the state of a fleet on one screen

Operators had one metrics page for each VM. The command reads any number of pages at once, prints totals, the VMs that differ with the reasons, and the connections of each instance; unreachable VMs are named.

--- a/src/currantlead/cli.py
+++ b/src/currantlead/cli.py
@@ -43,6 +43,7 @@
 app.command("serve-sessions")(commands.serve)
 app.command("check")(commands.check)
 app.command("explain")(commands.explain)
+app.command("status")(commands.status)
 
 
 def main() -> None:
--- /dev/null
+++ b/src/currantlead/operators/session_status.py
@@ -0,0 +1,151 @@
+"""State of a fleet of session VMs, summarized from their metrics pages; all functions are pure.
+
+Totals come first, then the VMs that need attention, so that the state of hundreds of VMs fits on one screen.
+"""
+
+import collections
+import dataclasses
+from collections.abc import Mapping, Sequence
+
+from prometheus_client import parser
+
+MAX_LISTED_VMS = 20
+"""Maximum number of VMs listed by name in the table; the others are counted."""
+MAX_HEALTHY_AGE_S = 2.5
+"""Age of a configuration above which a VM is listed: a relay's copy may be 2.2 s old."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VmStatus:
+    """State of one VM.
+
+    Attributes:
+        address: Address of its metrics.
+        ready: Whether it accepts new sessions.
+        sessions: Number of open sessions.
+        members: Number of VMs that it knows, itself included.
+        uses_relay: Whether it reads the store through another VM.
+        configuration_version: Version of the configuration in force there.
+        configuration_age_s: Seconds since its configuration was last confirmed.
+        pools: Connections of its pools in use, idle and allowed, and waiting statements, by instance and attribute.
+        refused: Operations refused as over the rate, by organisation.
+    """
+
+    address: str
+    ready: bool
+    sessions: int
+    members: int
+    uses_relay: bool
+    configuration_version: int
+    configuration_age_s: float
+    pools: Mapping[str, Mapping[str, int]]
+    refused: Mapping[str, int]
+
+
+def parse_page(address: str, text: str) -> VmStatus:
+    """Parse the metrics page of a VM.
+
+    Args:
+        address: Address of the page, for the result.
+        text: The page, in the Prometheus text format.
+
+    Raises:
+        ValueError: The page is malformed, or is not one of a session VM.
+    """
+    gauges: dict[str, float] = {}
+    pools: dict[str, dict[str, int]] = collections.defaultdict(dict)
+    refused: collections.Counter[str] = collections.Counter()
+    for family in parser.text_string_to_metric_families(text):
+        for sample in family.samples:
+            name = sample.name.removeprefix("currantlead_")
+            if name.startswith("pool_"):
+                pools[sample.labels["instance"]][name.removeprefix("pool_")] = int(sample.value)
+            elif name == "admissions_total" and sample.labels.get("result") == "over_rate":
+                refused[sample.labels["organisation"]] += int(sample.value)
+            elif not sample.labels:
+                gauges[name] = sample.value
+    try:
+        return VmStatus(
+            address=address,
+            ready=bool(gauges["ready"]),
+            sessions=int(gauges["sessions"]),
+            members=int(gauges["members"]),
+            uses_relay=bool(gauges["relayed"]),
+            configuration_version=int(gauges["configuration_version"]),
+            configuration_age_s=gauges["configuration_age_seconds"],
+            pools=dict(pools),
+            refused=dict(refused),
+        )
+    except KeyError as error:
+        raise ValueError(f"{address} is not the metrics page of a session VM: metric {error} is missing") from error
+
+
+def summarize(vms: Sequence[VmStatus], unreachable: Mapping[str, str]) -> dict[str, object]:
+    """Return the state of the fleet as a JSON-compatible map.
+
+    Args:
+        vms: The VMs that answered.
+        unreachable: Why each other VM has no state, by address.
+    """
+    newest = max((vm.configuration_version for vm in vms), default=0)
+    pools: dict[str, collections.Counter[str]] = collections.defaultdict(collections.Counter)
+    refused: collections.Counter[str] = collections.Counter()
+    for vm in vms:
+        refused.update(vm.refused)
+        for instance, values in vm.pools.items():
+            pools[instance].update(values)
+            pools[instance]["holders"] += values.get("limit", 0) > 0
+    return {
+        "vms": len(vms) + len(unreachable),
+        "ready": sum(vm.ready for vm in vms),
+        "sessions": sum(vm.sessions for vm in vms),
+        "members": sorted({vm.members for vm in vms}),
+        "watching_the_store": sum(not vm.uses_relay for vm in vms),
+        "configuration_version": newest,
+        "oldest_configuration_s": round(max((vm.configuration_age_s for vm in vms), default=0.0), 2),
+        "attention": attention(vms, newest) | dict(unreachable),
+        "refused_over_rate": dict(refused.most_common()),
+        "pools": {instance: dict(values) for instance, values in sorted(pools.items())},
+    }
+
+
+def attention(vms: Sequence[VmStatus], newest_version: int) -> dict[str, str]:
+    """Return the VMs that need attention, with the reasons."""
+    usual_members = collections.Counter(vm.members for vm in vms).most_common(1)
+    listed = {}
+    for vm in vms:
+        reasons = []
+        if not vm.ready:
+            reasons.append("not ready")
+        if vm.configuration_version < newest_version:
+            reasons.append(f"configuration {vm.configuration_version}, the newest is {newest_version}")
+        if vm.configuration_age_s > MAX_HEALTHY_AGE_S:
+            reasons.append(f"configuration confirmed {vm.configuration_age_s:.1f} s ago")
+        if vm.members != usual_members[0][0]:
+            reasons.append(f"knows {vm.members} VMs, most know {usual_members[0][0]}")
+        if reasons:
+            listed[vm.address] = "; ".join(reasons)
+    return listed
+
+
+def render(summary: Mapping[str, object]) -> list[str]:
+    """Return a summary as lines of text."""
+    members = ", ".join(map(str, summary["members"]))
+    lines = [
+        f"VMs        {summary['vms']}, ready {summary['ready']}, sessions {summary['sessions']}, members {members}",
+        f"store      watched by {summary['watching_the_store']} VMs; configuration {summary['configuration_version']},"
+        f" oldest confirmation {summary['oldest_configuration_s']} s",
+    ]
+    refused = list(summary["refused_over_rate"].items())[:5]
+    if refused:
+        lines.append("over rate  " + ", ".join(f"{organisation} {count}" for organisation, count in refused))
+    listed = summary["attention"]
+    lines += ["", f"need attention: {len(listed)}"]
+    lines += [f"  {address}  {reason}" for address, reason in sorted(listed.items())[:MAX_LISTED_VMS]]
+    if len(listed) > MAX_LISTED_VMS:
+        lines.append(f"  and {len(listed) - MAX_LISTED_VMS} more")
+    lines += ["", "instance              in use    idle   limit  waiting  VMs with connections"]
+    for instance, values in summary["pools"].items():
+        figures = [values.get(name, 0) for name in ("busy", "idle", "limit", "waiting", "holders")]
+        lines.append(f"{instance:<20} {figures[0]:>7} {figures[1]:>7} {figures[2]:>7} {figures[3]:>8} {figures[4]:>8}")
+    return lines
--- a/src/currantlead/sessions/commands.py
+++ b/src/currantlead/sessions/commands.py
@@ -1,16 +1,25 @@
-"""Commands for long-lived sessions: serve them, check a settings file, and explain a request from logs."""
+"""Commands for long-lived sessions: serve them, check settings, explain a request, and show the fleet's state."""
 
+import concurrent.futures
+import json
 import pathlib
 import sys
+import urllib.request
 from typing import Annotated
 
 import typer
 
 from currantlead import errors
+from currantlead.operators import session_status
 from currantlead.platform import settings_file
 from currantlead.sessions import __main__ as program
 from currantlead.sessions import explain as log_explanation
 
+STATUS_TIMEOUT_S = 2.0
+"""Time limit for the metrics page of one VM."""
+STATUS_REQUESTS = 32
+"""Maximum number of metrics pages that are read at the same time."""
+
 
 def serve() -> None:
     """Serve long-lived sessions on the users' platform; CURRANTLEAD_CONFIG holds the path of the settings file."""
@@ -47,3 +56,32 @@
     explanation, found = log_explanation.explain(lines if files else sys.stdin, request)
     typer.echo("\n".join(explanation))
     raise typer.Exit(0 if found else 1)
+
+
+def status(
+    addresses: Annotated[list[str], typer.Argument(help="Metrics addresses of VMs, such as 10.1.0.3:9464.")],
+    as_json: Annotated[bool, typer.Option("--json", help="Print JSON instead of a table.")] = False,
+) -> None:
+    """Show the state of a fleet of session VMs; the exit code is 1 if any VM needs attention."""
+    vms, unreachable = [], {}
+    with concurrent.futures.ThreadPoolExecutor(STATUS_REQUESTS) as executor:
+        for address, page in zip(addresses, executor.map(_read_metrics, addresses), strict=True):
+            try:
+                if isinstance(page, OSError):
+                    raise ValueError(f"unreachable: {page}")
+                vms.append(session_status.parse_page(address, page))
+            except ValueError as error:
+                unreachable[address] = str(error)
+    summary = session_status.summarize(vms, unreachable)
+    typer.echo(json.dumps(summary) if as_json else "\n".join(session_status.render(summary)))
+    raise typer.Exit(1 if summary["attention"] else 0)
+
+
+def _read_metrics(address: str) -> str | OSError:
+    """Return the metrics page of a VM, or why it could not be read."""
+    url = address if "://" in address else f"http://{address}/metrics"
+    try:
+        with urllib.request.urlopen(url, timeout=STATUS_TIMEOUT_S) as response:
+            return response.read().decode(errors="replace")
+    except OSError as error:
+        return error
