Contain a fault while the first list of members is applied

The list at the start was read outside of what contains faults: an unexpected error in a component would have ended the task that keeps the copies, and the VM would never have become ready. tests/test_mirror.py fails on the code before.

--- a/src/currantlead/sessions/mirror.py
+++ b/src/currantlead/sessions/mirror.py
@@ -217,6 +217,10 @@
             except (errors.HttpUnavailableError, errors.PlatformUnavailableError, errors.MalformedObjectError) as error:
                 _log.warning("members could not be listed at the start: {}", error)
                 return
+            except Exception as error:
+                # The list is read again with the other kinds; without this task the VM would read nothing.
+                _log.opt(exception=error).error("applying the members failed at the start")
+                return
             if self._members.missing_since is None or self._relay_candidates():
                 return
 
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -259,3 +259,18 @@
     assert restarted.configuration.version == 2 and restarted.fleet.get("i-3") is None
     caller = await bed.connect(restarted)
     assert (await caller.request(f"START own-db {session_bed.KEY}"))[0].startswith("ERR NOAUTH")
+
+
+async def test_fault_while_applying_the_first_list_does_not_end_the_start(monkeypatch):
+    """An unexpected error in a component that gets the first list of members must not keep the VM from starting."""
+    replace = members.Members.replace
+    faults = [RuntimeError("fault of a component")]
+
+    def fail_once(self, present):
+        if faults:
+            raise faults.pop()
+        replace(self, present)
+
+    monkeypatch.setattr(members.Members, "replace", fail_once)
+    async with asyncio.timeout(5.0), session_bed.Bed() as bed:
+        assert faults == [] and bed.daemon.is_ready()
