--- a/src/currantlead/sessions/daemon.py
+++ b/src/currantlead/sessions/daemon.py
@@ -40,7 +40,7 @@
     token_exchange,
 )
 
-CLEAN_UP_INTERVAL_S = 0.25
+CLEAN_UP_INTERVAL_S = 0.2
 """Interval of the check for instances whose entries lapsed more than 2 s ago and for transactions unused for 6 s."""
 LOG_FLUSH_INTERVAL_S = 0.2
 """Interval at which buffered log lines are written to the pipe, and thus their maximum delay."""
--- a/src/currantlead/sessions/registration.py
+++ b/src/currantlead/sessions/registration.py
@@ -8,7 +8,7 @@
 
 RETRY_DELAY_S = 0.3
 """Delay between attempts: the store may be unavailable while a VM starts; otherwise a call takes 4 ms."""
-CHECK_INTERVAL_S = 0.25
+CHECK_INTERVAL_S = 0.5
 """Interval of the check for this VM's own entry."""
 REGISTER_AGAIN_AFTER_S = 2.0
 """Time without an own entry after which this VM registers again. Local copies of the members may lack an entry for
