Leave callers more than half of their time after a wait for a new primary

Where no successor comes in time, the caller could have tried another VM.

Change: the wait ends after 0.45 of the time limit, and the refusal says that the service has no primary and when to come back. The suspect primary is asked at once when the first statement waits, not at the next tick of 0.5 s.

--- a/src/currantlead/sessions/execution.py
+++ b/src/currantlead/sessions/execution.py
@@ -165,7 +165,7 @@
         if not writes and self._targets.lacks_sample(context):
             await self._fetch_sample(context.route.service)
         tried_ids: set[str] = set()
-        last_outcome = operations.Outcome.refused(statements.Code.BUSY, "no instance available")
+        last_outcome = nothing_tried = operations.Outcome.refused(statements.Code.BUSY, "no instance available")
         while True:
             now = clock.now()
             target = self._targets.choose(context, writes, tried_ids, now)
@@ -173,8 +173,13 @@
                 awaits_failover = self._targets.awaits_failover(context, writes)
                 wait_until = wait.failover_until() if awaits_failover else wait.until
                 if now >= wait_until:
-                    return last_outcome, None
-                awaited_failover = awaited_failover or awaits_failover
+                    unsent = awaits_failover and last_outcome is nothing_tried
+                    return (_failover_refusal(context) if unsent else last_outcome), None
+                if awaits_failover and not awaited_failover:
+                    # An answer of the primary ends the wait if the suspicion is wrong.
+                    awaited_failover = True
+                    await self._fetch_sample(context.route.service)
+                    continue
                 await self._fleet.wait_for_change(min(RETRY_PAUSE_S, wait_until - now))
                 tried_ids.clear()
                 continue
@@ -317,6 +322,12 @@
     )
 
 
+def _failover_refusal(context: operations.Context) -> operations.Outcome:
+    """Return the outcome of a statement that has waited for a new primary in vain; an unsent one has not run."""
+    detail = f"{context.route.service} has no primary, retry-after-ms={waiting.FAILOVER_RETRY_MS}"
+    return operations.Outcome.refused(statements.Code.BUSY, detail)
+
+
 def _lost_outcome(instance_id: str, error: errors.LinkLostError, may_commit: bool) -> operations.Outcome:
     """Return the outcome of a statement whose connection was lost."""
     if may_commit and error.sent:
--- a/src/currantlead/sessions/sampling.py
+++ b/src/currantlead/sessions/sampling.py
@@ -129,7 +129,7 @@
 
     async def _refresh_service(self, service: str) -> None:
         primary = self._fleet.primary(service)
-        if primary is None or self._has_recent_sample(service):
+        if primary is None or (self._has_recent_sample(service) and not self._fleet.is_suspect(primary)):
             return
         path = self._connections.path_of(primary.instance)
         if not isinstance(path, forwarding.ForwardingPath):
--- a/src/currantlead/sessions/waiting.py
+++ b/src/currantlead/sessions/waiting.py
@@ -11,8 +11,11 @@
 quarter of the objective would leave the caller too little time for another attempt."""
 BUSY_WAIT_SHARE = 0.6
 """The same for a statement that an instance refused as busy: retrying here costs less than a retry by the caller."""
-FAILOVER_WAIT_SHARE = 0.75
-"""Share of the statement's time limit for which it may wait for a new primary; the rest is left to run there."""
+FAILOVER_WAIT_SHARE = 0.45
+"""Share of the statement's time limit for which it may wait for a new primary. More than half of the time is left to
+run there, or for the caller to try another VM."""
+FAILOVER_RETRY_MS = 300
+"""Retry delay suggested to callers that have waited for a new primary in vain, in milliseconds."""
 
 
 @dataclasses.dataclass(slots=True)
