Log repeated calls to the store and the age of the copies that change

Cause of the commit: the logs could not tell whether a copy of the evacuations was old because its watch was cut and repeated, or because a pending watch missed a change. No logic changes.

- The HTTP client logs when it repeats a GET on a kept connection that was lost.
- Each change of a copy is logged with its revision and the age that the copy had.
- The gauge copy_age_seconds shows by kind when a copy was last confirmed.

--- a/src/currantlead/sessions/daemon.py
+++ b/src/currantlead/sessions/daemon.py
@@ -224,6 +224,9 @@
         self.metrics.register_gauge(
             "configuration_age_seconds", lambda: {no_labels: self.configuration_age.age_s(clock.now())}
         )
+        self.metrics.register_gauge(
+            "copy_age_seconds", lambda: {(("kind", kind),): age_s for kind, age_s in self.mirror.copy_ages().items()}
+        )
         for attribute in connections.POOL_METRICS:
             self.metrics.register_gauge(f"pool_{attribute}", functools.partial(self.connections.read_metric, attribute))
 
--- a/src/currantlead/sessions/http.py
+++ b/src/currantlead/sessions/http.py
@@ -6,7 +6,7 @@
 
 import h11
 
-from currantlead import errors
+from currantlead import errors, logs
 from currantlead.peers import sockets
 from currantlead.sessions import settings
 
@@ -15,6 +15,8 @@
 CONNECT_TIMEOUT_S = 1.0
 """Allows for several round trips between regions (24 ms) and one retransmitted SYN packet."""
 
+_log = logs.part("store")
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Response:
@@ -64,6 +66,7 @@
             timed_out = isinstance(cause, TimeoutError) and cause.errno is None
             if method != "GET" or not reused or timed_out:
                 raise
+            _log.info("kept connection was lost, sending the call again: {}", error)
         return await self._send(method, path, body=body, headers=headers, timeout_s=timeout_s)
 
     async def _send(
--- a/src/currantlead/sessions/mirror.py
+++ b/src/currantlead/sessions/mirror.py
@@ -8,6 +8,7 @@
 import asyncio
 import dataclasses
 import json
+import math
 import secrets
 import zlib
 from collections.abc import Sequence
@@ -151,6 +152,11 @@
         """Return whether a VM has polled this one within the last ``LISTENER_TIMEOUT_S`` seconds."""
         return clock.now() - self._polled_at.get(vm, float("-inf")) <= LISTENER_TIMEOUT_S
 
+    def copy_ages(self) -> dict[str, float]:
+        """Return the seconds since the copy of each kind was last known to be current; infinite before the first."""
+        now = clock.now()
+        return {kind: now - copy.confirmed_at for kind, copy in self._copies.items()}
+
     def revision_of(self, kind: str, name: str) -> int | None:
         """Return the revision of an object in the local copy, or None if the copy doesn't have it."""
         stored = (self._copies[kind].objects_by_name or {}).get(name)
@@ -345,9 +351,11 @@
 
     def _record_change(self, copy: _Copy) -> None:
         """Increment the copy's version and notify the VMs that poll this one."""
+        now = clock.now()
+        age_s = None if math.isinf(copy.confirmed_at) else round(now - copy.confirmed_at, 3)
+        _log.bind(kind=copy.follower.kind, revision=copy.newest_revision, age_s=age_s).info("copy changed")
         copy.version += 1
         copy.relay_version = None
-        now = clock.now()
         for vm, polled_at in list(self._polled_at.items()):
             if now - polled_at > LISTENER_TIMEOUT_S:
                 del self._polled_at[vm]
