Bound the age of every copy of the store's objects

What callers' operators saw: requests reached instances of a failure domain for up to 9 s after its evacuation was acknowledged (bound 5 s).

Cause: the watches of evacuations, instances and members waited 20 s, and nothing asked how old these copies were; only the configuration had an age. When the store drops its history, it may leave a watch without an answer although its revision is gone, until the next change of its kind or the end of its wait. The VMs that watch the store then missed the evacuation, and the others took their copies because the configuration in the same response was fresh. Class of fault: silence taken for "nothing has changed", with a bound that was checked for one kind only.

Change: a watch of instances, evacuations or members waits at most 0.4 of the time in which their changes must be in force, taken from the deployment's bounds, also when they are reloaded. A relay's response is used only if no kind's confirmation is more than 0.7 s overdue (as before for the configuration: 1.5 s and 0.7 s), and a VM turns to the store by the most overdue of its copies.

Tests: the stand-in leaves watches without an answer as the store does.

--- a/src/currantlead/sessions/daemon.py
+++ b/src/currantlead/sessions/daemon.py
@@ -146,6 +146,7 @@
             self.members,
             self.configuration_age,
             self.failover,
+            bounds=config.bounds,
             on_limits_changed=self._handle_limits_changed,
             on_instances_changed=self._handle_instances_changed,
         )
@@ -260,6 +261,7 @@
         self.settings = loaded
         self.configuration_age.apply_bounds(loaded.bounds)
         self.fleet.apply_settings(loaded.bounds, loaded.region_of)
+        self.shared_state.apply_bounds(loaded.bounds)
         self.targets.region = loaded.region_of.get(loaded.domain, "")
         self.token_buckets.apply_bounds(loaded.bounds)
         self._handle_limits_changed()
--- a/src/currantlead/sessions/mirror.py
+++ b/src/currantlead/sessions/mirror.py
@@ -22,7 +22,8 @@
 POLL, CHANGED = "poll", "changed"
 SAMPLES = "samples"
 POLL_INTERVAL_S = 0.5
-"""Interval at which a relay is polled; with the relay's own watch of 1.5 s the age stays below 2.2 s."""
+"""Interval at which a relay is polled; a copy's age stays below the duration of the relay's watch
+and ``relay_choice.MAX_RELAY_DELAY_S``."""
 POLL_TIMEOUT_S = 0.3
 """A round trip within a failure domain takes 2 ms; a VM that takes this long is overloaded or down."""
 STALE_RELAY_RETRY_S = 0.5
@@ -251,8 +252,10 @@
         now = clock.now()
         if not self._is_loaded:
             return relay_choice.watches_store_at_start(rank, now - started_at)
-        confirmed_at = min(self._copies[kind].confirmed_at for kind in self._probing_kinds())
-        return relay_choice.watches_store(rank, now - confirmed_at)
+        longest_delay_s = max(
+            relay_choice.delay_s(now - copy.confirmed_at, copy.follower.wait_s) for copy in self._copies.values()
+        )
+        return relay_choice.watches_store(rank, longest_delay_s)
 
     def _select_source(self, relay: str) -> None:
         """Watch the store directly if ``relay`` is empty, and stop watching it otherwise."""
@@ -318,9 +321,10 @@
         if any(kind not in response for kind in self._copies):
             return False
         relayed = {kind: _decode_relayed(kind, response[kind]) for kind in self._copies}
+        elapsed_s = clock.now() - requested_at
         if any(
-            requested_at - relayed[kind].age_s < clock.now() - relay_choice.MAX_RELAY_AGE_S
-            for kind in self._probing_kinds()
+            relay_choice.delay_s(relayed[kind].age_s + elapsed_s, copy.follower.wait_s) > relay_choice.MAX_RELAY_DELAY_S
+            for kind, copy in self._copies.items()
         ):
             return False
         for kind, copy in self._copies.items():
@@ -338,9 +342,6 @@
             self._sampler.merge(response.get(SAMPLES, {}), requested_at)
         return True
 
-    def _probing_kinds(self) -> list[str]:
-        return [kind for kind, copy in self._copies.items() if copy.follower.retries_during_outage]
-
     def _replace_objects(self, copy: _Copy, present: Sequence[objects.StoredObject]) -> None:
         by_name = {stored.name: stored for stored in present}
         changed = by_name != copy.objects_by_name
--- a/src/currantlead/sessions/relay_choice.py
+++ b/src/currantlead/sessions/relay_choice.py
@@ -10,11 +10,12 @@
 
 MAX_RELAYS = 3
 """Number of VMs that serve as relays of a failure domain, in order of rank."""
-MAX_RELAY_AGE_S = 2.2
-"""Maximum age of a relay's confirmation; older relays are skipped. It leaves time for another poll and a call to the
-store before the age reaches 3 s, when new sessions are refused."""
-LATEST_DIRECT_AGE_S = 2.9
-"""Age of this VM's own copy from which it watches the store, whatever its rank."""
+MAX_RELAY_DELAY_S = 0.7
+"""Maximum delay of a relay's confirmations; relays with a longer one are skipped. The configuration is watched for
+1.5 s, so this leaves time for another poll and a call to the store before its age reaches 3 s, when new sessions are
+refused."""
+LATEST_DIRECT_DELAY_S = 1.4
+"""Delay of the confirmations of this VM's own copies from which it watches the store, whatever its rank."""
 DIRECT_STAGGER_S = 0.05
 """Delay per rank with which VMs turn to the store when no relay is fresh. If the store refuses only the relays, the
 first VMs that it serves follow it in time; in an outage, a whole domain would otherwise call it at once."""
@@ -46,13 +47,23 @@
     return rank == 0 or waited_s >= START_WAIT_S + min(rank, MAX_RELAYS) * START_STAGGER_S
 
 
-def watches_store(rank: int, age_s: float) -> bool:
+def delay_s(age_s: float, wait_s: float) -> float:
+    """Return by how long the confirmation of a copy is delayed; negative if the next one is not due yet.
+
+    Args:
+        age_s: Seconds since the copy was confirmed.
+        wait_s: Duration of one watch, in seconds, which confirms the copy at its end.
+    """
+    return age_s - wait_s
+
+
+def watches_store(rank: int, longest_delay_s: float) -> bool:
     """Return whether a VM that has a complete copy watches the store, because no relay is fresh.
 
     Args:
         rank: Position of this VM among those of its failure domain; 0 is the first.
-        age_s: Seconds since its copy of the configuration was confirmed.
+        longest_delay_s: Longest delay among the confirmations of its copies, in seconds.
     """
     if rank < MAX_RELAYS:
         return True
-    return age_s >= min(LATEST_DIRECT_AGE_S, MAX_RELAY_AGE_S + (rank - MAX_RELAYS) * DIRECT_STAGGER_S)
+    return longest_delay_s >= min(LATEST_DIRECT_DELAY_S, MAX_RELAY_DELAY_S + (rank - MAX_RELAYS) * DIRECT_STAGGER_S)
--- a/src/currantlead/sessions/shared_state.py
+++ b/src/currantlead/sessions/shared_state.py
@@ -4,13 +4,18 @@
 
 from currantlead import logs
 from currantlead.platform import objects
-from currantlead.sessions import configuration_age, fleet, members, mirror, model, store, succession
+from currantlead.sessions import configuration_age, fleet, members, mirror, model, settings, store, succession
 
 CONFIGURATION_WAIT_S = 1.5
 """Duration of a configuration watch. Its response confirms the keys well before the age limit of 3.8 s, also on VMs
 that receive it from a relay up to 0.6 s later."""
-STATE_WAIT_S = 20.0
-"""Duration of the other watches; TCP keep-alive closes a dead connection after 4 s."""
+STATE_AGE_FRACTION = 0.4
+"""Duration of the watches of instances, evacuations and members, as a fraction of the time in which their changes must
+be in force. A watch may miss a change and stay silent to its end, so its duration limits the age of the copy; the rest
+of the time is for relays, for the promotion of another primary, and for statements that wait."""
+DUTIES_WAIT_S = 20.0
+"""Duration of the watch of the duties. A claim reads the duty's entry from the store, so nothing depends on the age of
+the copy."""
 
 _log = logs.part("daemon")
 
@@ -23,6 +28,7 @@
         known_members: The registered VMs.
         configuration_age: Records when the configuration was last confirmed.
         primary_failover: Promotes primaries, or None if this VM doesn't.
+        bounds: Times in which changes must be in force.
         on_limits_changed: Called after the configuration or the members changed.
         on_instances_changed: Called after instances were added, changed or removed.
 
@@ -37,6 +43,7 @@
         configuration_age: configuration_age.ConfigurationAge,
         primary_failover: succession.Failover | None,
         *,
+        bounds: settings.Bounds,
         on_limits_changed: Callable[[], None],
         on_instances_changed: Callable[[], None],
     ):
@@ -49,15 +56,17 @@
         self._on_instances_changed = on_instances_changed
         self._instances_loaded = False
         self._evacuated: set[str] = set()
+        self._followers = self._create_followers()
+        self.apply_bounds(bounds)
 
     @property
     def is_complete(self) -> bool:
         """Return whether the configuration and the instances have been loaded."""
         return self._instances_loaded and self.configuration.revision > 0
 
-    def subscribe(self, store_mirror: mirror.Mirror) -> None:
-        """Subscribe to all kinds of objects that this VM needs."""
-        store_mirror.add_follower(
+    def _create_followers(self) -> dict[str, store.Follower]:
+        """Return a follower for each kind of objects that this VM needs; ``apply_bounds`` sets their waits."""
+        followers = [
             store.Follower(
                 objects.CONFIGURATION,
                 CONFIGURATION_WAIT_S,
@@ -65,26 +74,33 @@
                 lambda present, removed: self._apply_configuration(present),
                 self._configuration_age.confirm,
                 retries_during_outage=True,
-            )
-        )
-        store_mirror.add_follower(
-            store.Follower(objects.INSTANCES, STATE_WAIT_S, self._replace_instances, self._update_instances)
-        )
-        store_mirror.add_follower(
-            store.Follower(objects.EVACUATIONS, STATE_WAIT_S, self._replace_evacuations, self._update_evacuations)
-        )
-        store_mirror.add_follower(
-            store.Follower(objects.MEMBERS, STATE_WAIT_S, self._replace_members, self._update_members)
-        )
+            ),
+            store.Follower(objects.INSTANCES, 0.0, self._replace_instances, self._update_instances),
+            store.Follower(objects.EVACUATIONS, 0.0, self._replace_evacuations, self._update_evacuations),
+            store.Follower(objects.MEMBERS, 0.0, self._replace_members, self._update_members),
+        ]
         if self._failover is not None:
-            store_mirror.add_follower(
+            followers.append(
                 store.Follower(
                     objects.DUTIES,
-                    STATE_WAIT_S,
+                    DUTIES_WAIT_S,
                     self._apply_duties,
                     lambda present, removed: self._apply_duties(present),
                 )
             )
+        return {follower.kind: follower for follower in followers}
+
+    def apply_bounds(self, bounds: settings.Bounds) -> None:
+        """Apply the times in which changes of instances, evacuations and members must be in force."""
+        self._followers[objects.INSTANCES].wait_s = STATE_AGE_FRACTION * bounds.drain_s
+        self._followers[objects.EVACUATIONS].wait_s = STATE_AGE_FRACTION * bounds.evacuation_s
+        # The members share the rate limits, and a lower limit has this long to bind.
+        self._followers[objects.MEMBERS].wait_s = STATE_AGE_FRACTION * (bounds.configuration_s + bounds.rate_window_s)
+
+    def subscribe(self, store_mirror: mirror.Mirror) -> None:
+        """Subscribe to all kinds of objects that this VM needs."""
+        for follower in self._followers.values():
+            store_mirror.add_follower(follower)
 
     def _apply_configuration(self, present: tuple[objects.StoredObject, ...]) -> None:
         for stored in present:
--- a/tests/standins/object_store.py
+++ b/tests/standins/object_store.py
@@ -31,6 +31,7 @@
         self.objects: dict[str, dict[str, dict[str, Any]]] = {}
         self.history: list[tuple[int, str, dict[str, Any], bool]] = []
         self.history_from = 0
+        self._announces_gaps = True
         self.calls: list[tuple[str, str]] = []
         self.fences: dict[str, tuple[int, str]] = {}
         self.promotions: list[tuple[str, str, str, int]] = []
@@ -70,10 +71,16 @@
         stored = self.objects[kind].pop(name)
         self._append_history(kind, stored, deleted=True)
 
-    def drop_history(self) -> None:
-        """Drop the history of changes, so that a watch from an earlier revision gets status 410."""
+    def drop_history(self, *, announced: bool = True) -> None:
+        """Drop the history of changes, so that a watch from an earlier revision gets status 410.
+
+        Args:
+            announced: Whether such a watch is answered at once. Otherwise it is answered with the next change of its
+                kind, or at the end of its wait.
+        """
         self.history.clear()
         self.history_from = self.revision
+        self._announces_gaps = announced
         self._wake_watches()
 
     def _append_history(self, kind: str, stored: dict[str, Any], *, deleted: bool) -> None:
@@ -171,14 +178,14 @@
     async def _watch(self, kind: str, since: int, wait_s: float) -> tuple[int, Any]:
         deadline = asyncio.get_running_loop().time() + wait_s
         while True:
-            if since < self.history_from:
-                return 410, {}
             events = [
                 {"object": stored, "deleted": deleted}
                 for revision, changed, stored, deleted in self.history
                 if revision > since and changed == kind
             ]
             left = deadline - asyncio.get_running_loop().time()
+            if since < self.history_from and (self._announces_gaps or events or left <= 0):
+                return 410, {}
             if events or left <= 0:
                 return 200, {"events": events, "asOf": self.revision}
             try:
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -10,9 +10,12 @@
 from currantlead import errors
 from currantlead.peers import network
 from currantlead.platform import objects
-from currantlead.sessions import clock, members, mirror, model, relay_choice, store
+from currantlead.sessions import clock, fleet, members, mirror, model, relay_choice, shared_state, store
 from tests import session_bed
 
+MAX_RELAY_AGE_S = shared_state.CONFIGURATION_WAIT_S + relay_choice.MAX_RELAY_DELAY_S
+"""Maximum age of a relay's configuration."""
+
 
 async def wait_until(condition, timeout_s=3.0):
     """Wait until a condition is true."""
@@ -41,7 +44,7 @@
     await asyncio.sleep(2.0)
     watches = [path for _, path in bed.store.calls[before:] if objects.CONFIGURATION in path]
     assert 2 <= len(watches) <= 5
-    assert relayed.configuration_age.age_s(clock.now()) < relay_choice.MAX_RELAY_AGE_S
+    assert relayed.configuration_age.age_s(clock.now()) < MAX_RELAY_AGE_S
 
 
 async def test_relay_pushes_changes(three_vms):
@@ -65,6 +68,55 @@
     await wait_until(lambda: relayed.fleet.get("i-3") is None)
 
 
+@pytest.mark.parametrize(
+    ("kind", "bound"),
+    [
+        ("evacuations", lambda bounds: bounds.evacuation_s - fleet.EVACUATION_MARGIN_S),
+        ("servers", lambda bounds: bounds.drain_s - fleet.DRAIN_MARGIN_S),
+        ("members", lambda bounds: bounds.configuration_s + bounds.rate_window_s),
+    ],
+)
+async def test_change_missed_by_a_pending_watch_is_noticed_within_its_bound(three_vms, kind, bound):
+    """An evacuated domain was served for 9 s by VMs whose watch missed the change and stayed pending."""
+    bed, relay, relayed, far = three_vms
+    vms = [relay, relayed, far]
+    if kind == "evacuations":
+        bed.store.put(kind, "z2", {})
+    elif kind == "servers":
+        bed.register_instance("i-2", state="draining")
+    else:
+        bed.store.put(kind, "vm-9", {"peerHost": "127.0.0.1", "peerPort": 1, "domain": "z3"})
+    bed.store.drop_history(announced=False)
+
+    def is_known(vm):
+        if kind == "members":
+            return vm.members.get("vm-9") is not None
+        return not vm.fleet.accepts_reads(vm.fleet.get("i-2"))
+
+    await wait_until(lambda: all(map(is_known, vms)), bound(bed.daemon.settings.bounds))
+
+
+async def test_relay_whose_copy_of_one_kind_is_not_confirmed_is_skipped(three_vms, monkeypatch):
+    """A relay whose configuration is fresh must not hand on evacuations that it has not confirmed for long."""
+    bed, relay, relayed, _ = three_vms
+    watch = relay.store._watch
+
+    async def watch_all_but_evacuations(client, follower, wait_s):
+        if follower.kind == objects.EVACUATIONS:
+            await asyncio.sleep(3600)
+        return await watch(client, follower, wait_s)
+
+    monkeypatch.setattr(relay.store, "_watch", watch_all_but_evacuations)
+    # The watch that is pending now ends within its own time.
+    await asyncio.sleep(relay.mirror._copies[objects.EVACUATIONS].follower.wait_s)
+    bed.store.put("evacuations", "z2", {})
+    bounds = bed.daemon.settings.bounds
+    await wait_until(
+        lambda: not relayed.fleet.accepts_reads(relayed.fleet.get("i-2")),
+        bounds.evacuation_s - fleet.EVACUATION_MARGIN_S,
+    )
+
+
 async def test_relayed_vm_watches_the_store_after_its_relay_stopped(three_vms):
     """The configuration stays confirmed when a relay stops."""
     bed, relay, relayed, _ = three_vms
@@ -74,7 +126,7 @@
         await asyncio.sleep(0.01)
         oldest = max(oldest, relayed.configuration_age.age_s(clock.now()))
     assert not relayed.mirror.uses_relay
-    assert oldest < relay_choice.MAX_RELAY_AGE_S
+    assert oldest < MAX_RELAY_AGE_S
     bed.store.put("config", "main", session_bed.configuration(7))
     await wait_until(lambda: relayed.configuration.version == 7)
 
@@ -173,7 +225,7 @@
     await wait_until(lambda: not relayed.mirror.uses_relay)
     bed.store.put("config", "main", session_bed.configuration(8))
     await wait_until(lambda: relayed.configuration.version == 8)
-    assert relayed.configuration_age.age_s(clock.now()) < relay_choice.MAX_RELAY_AGE_S
+    assert relayed.configuration_age.age_s(clock.now()) < MAX_RELAY_AGE_S
 
 
 async def test_fault_while_applying_a_copy_does_not_end_the_polls(three_vms, monkeypatch):
@@ -253,7 +305,7 @@
     await asyncio.sleep(1.6)
     bed.store.put("config", "main", session_bed.configuration(2, tenants=[]))
     bed.store.delete("servers", "i-3")
-    await asyncio.sleep(relay_choice.MAX_RELAY_AGE_S)
+    await asyncio.sleep(MAX_RELAY_AGE_S)
     assert relay.configuration.version == 1
     restarted = await bed.add_daemon(relayed.settings.vm, "z1")
     assert restarted.configuration.version == 2 and restarted.fleet.get("i-3") is None
