Follow a reset watch by a list instead of repeating it

Cause: the HTTP client sent any GET once more if its kept connection was lost, so the follower never learned that a watch had been reset. The repeated watch started from the old revision, whose history the store had dropped; the list that follows an error would have had the evacuation. Class of fault: a retry below the layer that knows what a failure means.

Evidence: at 6.4 s the relays repeat four of five watches; the fifth, the first call on its connection, is followed by a list 0.2 s later.

Change: each call says whether it may be sent again. Lists and reads may, a watch may not. The repeat of reads on dead connections stays as it is, with its test.

--- a/src/currantlead/platform/objects.py
+++ b/src/currantlead/platform/objects.py
@@ -25,12 +25,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call:
-    """Describe an HTTP call."""
+    """Describe an HTTP call.
+
+    Attributes:
+        method: HTTP method.
+        path: Path including the query.
+        body: JSON body, or empty.
+        headers: Additional headers.
+        repeatable: Whether the call only reads the current state, so that it may be sent again. A watch is not
+            repeatable: after its reset, the history since its revision may be gone.
+    """
 
     method: str
     path: str
     body: bytes = b""
     headers: tuple[tuple[str, str], ...] = ()
+    repeatable: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,7 +78,7 @@
 def list_call(kind: str, after: str = "") -> Call:
     """Return the call that lists the objects of a kind whose names follow ``after``."""
     query = "?" + urllib.parse.urlencode({"after": after}) if after else ""
-    return Call("GET", f"{_OBJECTS_PATH}{kind}{query}")
+    return Call("GET", f"{_OBJECTS_PATH}{kind}{query}", repeatable=True)
 
 
 def watch_call(kind: str, revision: int, wait_s: float) -> Call:
@@ -78,7 +88,7 @@
 
 def read_call(kind: str, name: str) -> Call:
     """Return the call that reads one object."""
-    return Call("GET", f"{_OBJECTS_PATH}{kind}/{urllib.parse.quote(name, safe='')}")
+    return Call("GET", f"{_OBJECTS_PATH}{kind}/{urllib.parse.quote(name, safe='')}", repeatable=True)
 
 
 def create_call(kind: str, name: str, value: Any) -> Call:
--- a/src/currantlead/sessions/http.py
+++ b/src/currantlead/sessions/http.py
@@ -41,17 +41,20 @@
         *,
         body: bytes = b"",
         headers: Sequence[tuple[str, str]] = (),
+        repeatable: bool = False,
         timeout_s: float,
     ) -> Response:
         """Send a call and return its response.
 
-        A GET call is repeated once if the connection was kept alive from an earlier call and turns out to be dead.
+        A repeatable call is sent once more if the connection was kept alive from an earlier call and turns out to be
+        dead.
 
         Args:
             method: HTTP method.
             path: Path including the query.
             body: JSON body, or empty.
             headers: Additional headers.
+            repeatable: Whether the call may be sent again.
             timeout_s: Time limit of the whole call in seconds.
 
         Raises:
@@ -64,7 +67,7 @@
             cause = error.__cause__
             # TCP keep-alive reports a dead connection as a TimeoutError too, but with an errno.
             timed_out = isinstance(cause, TimeoutError) and cause.errno is None
-            if method != "GET" or not reused or timed_out:
+            if not repeatable or not reused or timed_out:
                 raise
             _log.info("kept connection was lost, sending the call again: {}", error)
         return await self._send(method, path, body=body, headers=headers, timeout_s=timeout_s)
--- a/src/currantlead/sessions/store.py
+++ b/src/currantlead/sessions/store.py
@@ -81,7 +81,12 @@
     async def _send(self, call: objects.Call, client: http.HttpClient, timeout_s: float) -> http.Response:
         try:
             response = await client.request(
-                call.method, call.path, body=call.body, headers=call.headers, timeout_s=timeout_s
+                call.method,
+                call.path,
+                body=call.body,
+                headers=call.headers,
+                repeatable=call.repeatable,
+                timeout_s=timeout_s,
             )
         except errors.HttpUnavailableError:
             self._on_call_finished("no answer")
--- a/tests/standins/object_store.py
+++ b/tests/standins/object_store.py
@@ -52,6 +52,10 @@
         """Close the listener and all connections."""
         if self._server is not None:
             self._server.close()
+        self.reset_connections()
+
+    def reset_connections(self) -> None:
+        """Reset all open connections, also those of pending watches."""
         for writer in list(self._writers):
             writer.transport.abort()
 
--- a/tests/test_store_follow.py
+++ b/tests/test_store_follow.py
@@ -119,6 +119,21 @@
     assert callbacks.names == {"main"}
 
 
+async def test_reset_watch_is_followed_by_a_list_and_not_repeated(store_and_callbacks):
+    """A watch that was repeated from its old revision after a reset missed the change before the reset."""
+    store_server, callbacks = store_and_callbacks
+    # The first watch on a connection was never repeated, so the reset has to strike a later one.
+    await asyncio.sleep(0.5)
+    store_server.put(objects.CONFIGURATION, "other", {})
+    store_server.drop_history(announced=False)
+    before = len(store_server.calls)
+    store_server.reset_connections()
+    await asyncio.sleep(0.3)
+    first_call = store_server.calls[before][1]
+    assert "watch=" not in first_call
+    assert callbacks.names == {"main", "other"}
+
+
 async def test_list_of_several_pages_is_complete():
     """All pages of a list are read."""
     store_server = object_store.ObjectStore()
