Count the bounds of drains and evacuations from the last confirmation

Cause: draining_since and the time of an evacuation were the moment at which the VM learned of the change. The store had accepted it up to the age of the copy before. Class of fault: a bound that begins at the observation instead of the event.

Change: the time is that of the copy's last confirmation, the earliest moment at which the change may have been accepted. A copy that was never confirmed knows no such moment, so the bound counts as passed.

--- a/src/currantlead/sessions/fleet.py
+++ b/src/currantlead/sessions/fleet.py
@@ -37,7 +37,7 @@
     Attributes:
         instance: The most recent entry of the store.
         primary_since: Revision at which the entry first named it primary, or 0.
-        draining_since: Clock reading at which it was first seen draining, or None.
+        draining_since: Earliest clock reading at which it may have begun to drain, or None.
         lapsed_at: Clock reading at which its entry disappeared although it was not draining, or None.
         suspect_until: Clock reading until which other instances are preferred.
         not_primary_at: Clock reading at which it refused because it is not the primary, or None.
@@ -93,16 +93,26 @@
         self._bounds = bounds
         self._region_of = region_of
 
-    def replace(self, instances: Iterable[model.Instance]) -> None:
-        """Apply the store's complete list; instances that are missing from it have lapsed or left."""
+    def replace(self, instances: Iterable[model.Instance], since: float) -> None:
+        """Apply the store's complete list; instances that are missing from it have lapsed or left.
+
+        Args:
+            instances: The list.
+            since: Earliest clock reading at which the store may have accepted the changes.
+        """
         present = {instance.id: instance for instance in instances}
         for instance in present.values():
-            self.update(instance)
+            self.update(instance, since)
         for instance_id in [name for name in self._instances if name not in present]:
             self.remove(instance_id)
 
-    def update(self, instance: model.Instance) -> None:
-        """Apply a new or changed entry."""
+    def update(self, instance: model.Instance, since: float) -> None:
+        """Apply a new or changed entry.
+
+        Args:
+            instance: The entry.
+            since: Earliest clock reading at which the store may have accepted the change.
+        """
         tracked = self._instances.get(instance.id)
         if tracked is not None and tracked.instance.service != instance.service:
             self._forget(tracked)
@@ -125,7 +135,7 @@
         if not instance.draining:
             tracked.draining_since = None
         elif tracked.draining_since is None:
-            tracked.draining_since = clock.now()
+            tracked.draining_since = since
             _log.bind(instance=instance.id, service=instance.service).info("instance is draining")
         self._notify_waiters()
 
@@ -166,13 +176,17 @@
         if not of_service:
             del self._by_service[instance.service]
 
-    def set_evacuated_domains(self, domains: Iterable[str]) -> None:
-        """Set the evacuated failure domains, whose instances must get no new work."""
-        now = clock.now()
+    def set_evacuated_domains(self, domains: Iterable[str], since: float) -> None:
+        """Set the evacuated failure domains, whose instances must get no new work.
+
+        Args:
+            domains: The evacuated domains.
+            since: Earliest clock reading at which the store may have accepted the evacuation of a new one.
+        """
         evacuated = set(domains)
         if evacuated != set(self._evacuated_since):
             _log.bind(domains=sorted(evacuated)).info("evacuated domains changed")
-        self._evacuated_since = {domain: self._evacuated_since.get(domain, now) for domain in evacuated}
+        self._evacuated_since = {domain: self._evacuated_since.get(domain, since) for domain in evacuated}
         self._notify_waiters()
 
     def get(self, instance_id: str) -> TrackedInstance | None:
--- a/src/currantlead/sessions/mirror.py
+++ b/src/currantlead/sessions/mirror.py
@@ -158,6 +158,13 @@
         now = clock.now()
         return {kind: now - copy.confirmed_at for kind, copy in self._copies.items()}
 
+    def confirmed_at(self, kind: str) -> float:
+        """Return the clock reading at which the copy of a kind was last known to be current; -inf before the first.
+
+        While a follower's callback applies a change, this is the reading at which the change was not there yet.
+        """
+        return self._copies[kind].confirmed_at
+
     def revision_of(self, kind: str, name: str) -> int | None:
         """Return the revision of an object in the local copy, or None if the copy doesn't have it."""
         stored = (self._copies[kind].objects_by_name or {}).get(name)
--- a/src/currantlead/sessions/shared_state.py
+++ b/src/currantlead/sessions/shared_state.py
@@ -56,6 +56,7 @@
         self._on_instances_changed = on_instances_changed
         self._instances_loaded = False
         self._evacuated: set[str] = set()
+        self._mirror: mirror.Mirror | None = None
         self._followers = self._create_followers()
         self.apply_bounds(bounds)
 
@@ -99,6 +100,7 @@
 
     def subscribe(self, store_mirror: mirror.Mirror) -> None:
         """Subscribe to all kinds of objects that this VM needs."""
+        self._mirror = store_mirror
         for follower in self._followers.values():
             store_mirror.add_follower(follower)
 
@@ -111,27 +113,29 @@
 
     def _replace_instances(self, present: tuple[objects.StoredObject, ...]) -> None:
         decoded = [objects.decode_instance(stored) for stored in present]
-        self._fleet.replace(instance for instance in decoded if instance is not None)
+        since = self._mirror.confirmed_at(objects.INSTANCES)
+        self._fleet.replace((instance for instance in decoded if instance is not None), since)
         self._instances_loaded = True
         self._on_instances_changed()
 
     def _update_instances(self, present: tuple[objects.StoredObject, ...], removed: tuple[str, ...]) -> None:
+        since = self._mirror.confirmed_at(objects.INSTANCES)
         for stored in present:
             instance = objects.decode_instance(stored)
             if instance is not None:
-                self._fleet.update(instance)
+                self._fleet.update(instance, since)
         for name in removed:
             self._fleet.remove(name)
         self._on_instances_changed()
 
     def _replace_evacuations(self, present: tuple[objects.StoredObject, ...]) -> None:
         self._evacuated = {objects.decode_name(stored) for stored in present}
-        self._fleet.set_evacuated_domains(self._evacuated)
+        self._fleet.set_evacuated_domains(self._evacuated, self._mirror.confirmed_at(objects.EVACUATIONS))
 
     def _update_evacuations(self, present: tuple[objects.StoredObject, ...], removed: tuple[str, ...]) -> None:
         self._evacuated |= {objects.decode_name(stored) for stored in present}
         self._evacuated -= set(removed)
-        self._fleet.set_evacuated_domains(self._evacuated)
+        self._fleet.set_evacuated_domains(self._evacuated, self._mirror.confirmed_at(objects.EVACUATIONS))
 
     def _replace_members(self, present: tuple[objects.StoredObject, ...]) -> None:
         decoded = [objects.decode_member(stored) for stored in present]
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -36,7 +36,8 @@
             instances.update(
                 dataclasses.replace(
                     PRIMARY, id=name, service=service, draining=action == "drain", started_at_ms=started_at_ms
-                )
+                ),
+                clock.now(),
             )
         else:
             instances.remove(name)
@@ -56,9 +57,9 @@
 def test_restarted_instance_knows_nothing_of_before():
     """An instance that starts again under its id has lost its state, so nothing seen before counts for it."""
     instances = make_fleet()
-    instances.update(PRIMARY)
+    instances.update(PRIMARY, clock.now())
     instances.mark_suspect("i-1", "seen by the test")
-    instances.update(dataclasses.replace(PRIMARY, started_at_ms=2, role=model.Role.REPLICA, revision=6))
+    instances.update(dataclasses.replace(PRIMARY, started_at_ms=2, role=model.Role.REPLICA, revision=6), clock.now())
     (tracked,) = instances.instances_of("svc1")
     assert not instances.is_suspect(tracked) and tracked.primary_since == 0
     assert instances.primary("svc1") is None
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -96,6 +96,26 @@
     await wait_until(lambda: all(map(is_known, vms)), bound(bed.daemon.settings.bounds))
 
 
+@pytest.mark.parametrize(
+    ("kind", "bound"),
+    [
+        ("evacuations", lambda bounds: bounds.evacuation_s - fleet.EVACUATION_MARGIN_S),
+        ("servers", lambda bounds: bounds.drain_s - fleet.DRAIN_MARGIN_S),
+    ],
+)
+async def test_primary_whose_departure_was_noticed_late_gets_no_work_beyond_the_bound(three_vms, kind, bound):
+    """The bound began when a VM learned of the change, so a VM that missed it at first sent work for longer."""
+    bed, *vms = three_vms
+    bed.store.promote = lambda service, instance: False
+    if kind == "evacuations":
+        bed.store.put(kind, "z1", {})
+    else:
+        bed.register_instance("i-1", state="draining")
+    bed.store.drop_history(announced=False)
+    await asyncio.sleep(bound(bed.daemon.settings.bounds))
+    assert not any(vm.fleet.accepts_primary_work(vm.fleet.get("i-1")) for vm in vms)
+
+
 async def test_relay_whose_copy_of_one_kind_is_not_confirmed_is_skipped(three_vms, monkeypatch):
     """A relay whose configuration is fresh must not hand on evacuations that it has not confirmed for long."""
     bed, relay, relayed, _ = three_vms
