Log when the store begins a new era

The logs of the drill could not tell two histories of the store apart: revision 22 stands in them for two configurations. The HTTP client passes on the headers of a response, and the store's client logs a change of its era. No logic changes.

--- a/src/currantlead/platform/objects.py
+++ b/src/currantlead/platform/objects.py
@@ -18,6 +18,7 @@
 MEMBERS = "members"
 DUTIES = "duties"
 _OBJECTS_PATH = "/currantlead/objects/"
+_ERA_HEADER = "store-era"
 
 OK, CREATED = 200, 201
 NOT_FOUND, CONFLICT, HISTORY_GONE = 404, 409, 410
@@ -116,6 +117,25 @@
     return Call("POST", "/promotion", body, (("Duty-Holder", holder), ("Fence-Token", str(generation))))
 
 
+def decode_era(headers: Mapping[str, str]) -> int | None:
+    """Return the era of the store from the headers of a response, or None if it names none.
+
+    The store begins a new era each time it is restored from a copy.
+
+    Args:
+        headers: Headers of the response, with names in lower case.
+
+    Raises:
+        errors.MalformedObjectError: The era is not a natural number.
+    """
+    text = headers.get(_ERA_HEADER)
+    if text is None:
+        return None
+    if not text.isascii() or not text.isdigit():
+        raise errors.MalformedObjectError(f"store sent an era that is not a natural number: {text!r}")
+    return int(text)
+
+
 def _load_json(body: bytes) -> Any:
     try:
         return json.loads(body)
--- a/src/currantlead/sessions/http.py
+++ b/src/currantlead/sessions/http.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import h11
 
@@ -20,10 +20,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Response:
-    """Hold the status and the complete body of a response."""
+    """Hold the status, the complete body and the headers of a response; header names are in lower case."""
 
     status: int
     body: bytes
+    headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
 
 
 class HttpClient:
@@ -117,16 +118,17 @@
         return self._codec, *self._streams
 
     async def _receive(self, codec: h11.Connection, reader: asyncio.StreamReader) -> Response:
-        status, parts = 0, []
+        status, headers, parts = 0, {}, []
         while True:
             event = codec.next_event()
             if event is h11.NEED_DATA:
                 codec.receive_data(await reader.read(READ_BYTES))
             elif isinstance(event, h11.Response):
                 status = event.status_code
+                headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in event.headers}
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                return Response(status, b"".join(parts))
+                return Response(status, b"".join(parts), headers)
             elif isinstance(event, h11.ConnectionClosed):
                 raise ConnectionResetError("connection closed before the response was complete")
--- a/src/currantlead/sessions/store.py
+++ b/src/currantlead/sessions/store.py
@@ -61,6 +61,7 @@
         self._client_lock = asyncio.Lock()
         self._available = asyncio.Event()
         self._available.set()
+        self._era: int | None = None
 
     async def call(self, call: objects.Call, client: http.HttpClient | None = None, timeout_s: float = CALL_TIMEOUT_S):
         """Send a call and return its response.
@@ -139,12 +140,22 @@
             response = await self.call(call)
         except errors.HttpUnavailableError as error:
             raise errors.PlatformUnavailableError(str(error)) from error
+        self._track_era(response)
         if response.status not in (objects.OK, objects.CREATED, objects.NOT_FOUND, objects.CONFLICT):
             raise errors.PlatformUnavailableError(
                 f"store answered status {response.status} to {call.method} {call.path}"
             )
         return response
 
+    def _track_era(self, response: http.Response) -> None:
+        """Record the era that a response of the store names."""
+        era = objects.decode_era(response.headers)
+        if era is None or era == self._era:
+            return
+        if self._era is not None:
+            _log.bind(era=era, previous_era=self._era).warning("store was restored from a copy")
+        self._era = era
+
     def set_available(self, available: bool) -> None:
         """Set whether followers that do not retry during an outage may call the store before another one reached it."""
         if available:
@@ -217,6 +228,7 @@
         after, revision = "", None
         while True:
             response = await self.call(objects.list_call(follower.kind, after), client)
+            self._track_era(response)
             if response.status != objects.OK:
                 raise errors.PlatformUnavailableError(
                     f"store answered status {response.status} to list {follower.kind}"
@@ -241,6 +253,7 @@
         requested_at = clock.now()
         call = objects.watch_call(follower.kind, follower.revision, wait_s)
         response = await self.call(call, client, wait_s + CALL_TIMEOUT_S)
+        self._track_era(response)
         if response.status == objects.HISTORY_GONE:
             _log.bind(kind=follower.kind, revision=follower.revision).info("store dropped its history, listing again")
             follower.revision = None
