Order the store's revisions across its eras

What callers saw: a route that had been added after the store was restored was not served, and configurations acknowledged since never came into force.

Cause: a restored store gives out revisions again, and every comparison took them for numbers of one history. The configuration was applied only at a higher number than that of the one in force, and version 14 had the number of version 11. The same class elsewhere: the generation numbers of promotions are revisions, so the platform would refuse each promotion until the numbers had passed those before, and two holders could use the same one; the roles of instances are ordered by revision; a relay's copies are; a watch could go on from a number that now stands for another change; a conditional update could match a state that its VM never read.

Change: the store's client reads the era in each response, and the codec combines it with the store's number into one revision that only grows, so that all these comparisons hold as they are. A response from an ended era is no answer; a watch or a list that spans two eras is followed by a list; a conditional update with a revision of another era does not count as done. Without the header, revisions stay as they were.

In test_succession the generation number of the other VM is now one of the next era, because 10**9 is no longer higher than ours.

--- a/src/currantlead/platform/objects.py
+++ b/src/currantlead/platform/objects.py
@@ -19,6 +19,9 @@
 DUTIES = "duties"
 _OBJECTS_PATH = "/currantlead/objects/"
 _ERA_HEADER = "store-era"
+_ERA_SHIFT_BITS = 32
+"""Position of the era in a revision. It leaves room for 2**32 changes an era, and for 2**21 eras in numbers that JSON
+decoders read as doubles."""
 
 OK, CREATED = 200, 201
 NOT_FOUND, CONFLICT, HISTORY_GONE = 404, 409, 410
@@ -50,7 +53,7 @@
 
     Attributes:
         name: Name of the object.
-        revision: Store revision of its last change.
+        revision: Revision of its last change.
         value: Its value, of any JSON type.
     """
 
@@ -84,7 +87,7 @@
 
 def watch_call(kind: str, revision: int, wait_s: float) -> Call:
     """Return the call that waits up to ``wait_s`` seconds for changes after a revision."""
-    return Call("GET", f"{_OBJECTS_PATH}{kind}?watch={revision}&waitMs={int(wait_s * 1000)}")
+    return Call("GET", f"{_OBJECTS_PATH}{kind}?watch={_store_number(revision)}&waitMs={int(wait_s * 1000)}")
 
 
 def read_call(kind: str, name: str) -> Call:
@@ -101,14 +104,16 @@
     """Return the call that replaces an object; with ``revision``, only if that is the object's current revision."""
     meta: dict[str, Any] = {"name": name}
     if revision is not None:
-        meta["revision"] = revision
+        meta["revision"] = _store_number(revision)
     path = f"{_OBJECTS_PATH}{kind}/{urllib.parse.quote(name, safe='')}"
     return Call("PUT", path, json.dumps({"meta": meta, "spec": value}).encode())
 
 
 def delete_call(kind: str, name: str, revision: int) -> Call:
     """Return the call that deletes an object if ``revision`` is its current revision."""
-    return Call("DELETE", f"{_OBJECTS_PATH}{kind}/{urllib.parse.quote(name, safe='')}?revision={revision}")
+    return Call(
+        "DELETE", f"{_OBJECTS_PATH}{kind}/{urllib.parse.quote(name, safe='')}?revision={_store_number(revision)}"
+    )
 
 
 def promote_call(service: str, instance_id: str, holder: str, generation: int) -> Call:
@@ -117,6 +122,31 @@
     return Call("POST", "/promotion", body, (("Duty-Holder", holder), ("Fence-Token", str(generation))))
 
 
+def combine_revision(era: int, number: int) -> int:
+    """Return the revision for a number that the store gave out in one of its eras.
+
+    A store that is restored from a copy begins a new era and gives out numbers again. Revisions of all eras are in the
+    order in which they were given out.
+    """
+    return (era << _ERA_SHIFT_BITS) + number
+
+
+def era_of(revision: int) -> int:
+    """Return the store's era in which a revision was given out."""
+    return revision >> _ERA_SHIFT_BITS
+
+
+def format_revision(revision: int) -> str:
+    """Return a revision for log lines: the store's number, after the era if the store names one."""
+    era, number = era_of(revision), _store_number(revision)
+    return f"{era}.{number}" if era else str(number)
+
+
+def _store_number(revision: int) -> int:
+    """Return the store's own number of a revision."""
+    return revision & ((1 << _ERA_SHIFT_BITS) - 1)
+
+
 def decode_era(headers: Mapping[str, str]) -> int | None:
     """Return the era of the store from the headers of a response, or None if it names none.
 
@@ -143,44 +173,52 @@
         raise errors.MalformedObjectError(f"store sent a body that is not valid JSON: {error}") from error
 
 
-def decode_object(body: bytes) -> StoredObject:
+def decode_object(body: bytes, era: int) -> StoredObject:
     """Decode a response body that holds a single object.
 
+    Args:
+        body: Body of the response.
+        era: Era of the store.
+
     Raises:
         errors.MalformedObjectError: The body is not a valid object.
     """
-    return _decode_stored(_load_json(body))
+    return _decode_stored(_load_json(body), era)
 
 
-def _decode_stored(item: Any) -> StoredObject:
+def _decode_stored(item: Any, era: int) -> StoredObject:
     try:
         meta = item["meta"]
-        return StoredObject(str(meta["name"]), int(meta["revision"]), item.get("spec"))
+        return StoredObject(str(meta["name"]), combine_revision(era, int(meta["revision"])), item.get("spec"))
     except (AttributeError, KeyError, TypeError, ValueError) as error:
         raise errors.MalformedObjectError(
             f"store sent an object without a valid name or revision: {error!r}"
         ) from error
 
 
-def decode_page(body: bytes) -> Page:
+def decode_page(body: bytes, era: int) -> Page:
     """Decode the response body of a list or watch call.
 
+    Args:
+        body: Body of the response.
+        era: Era of the store.
+
     Raises:
         errors.MalformedObjectError: The body is malformed.
     """
     response = _load_json(body)
     try:
-        revision = int(response["asOf"])
+        revision = combine_revision(era, int(response["asOf"]))
         if "events" in response:
             # Only the last event of each name counts; one response may both create and delete an object.
             latest: dict[str, tuple[StoredObject, bool]] = {}
             for event in response["events"]:
-                stored = _decode_stored(event["object"])
+                stored = _decode_stored(event["object"], era)
                 latest[stored.name] = stored, bool(event.get("deleted"))
             present = tuple(stored for stored, deleted in latest.values() if not deleted)
             removed = tuple(stored.name for stored, deleted in latest.values() if deleted)
             return Page(revision, present, removed)
-        items = tuple(_decode_stored(item) for item in response["items"])
+        items = tuple(_decode_stored(item, era) for item in response["items"])
         return Page(revision, items, (), items[-1].name if response.get("hasMore") and items else "")
     except (KeyError, TypeError, ValueError) as error:
         raise errors.MalformedObjectError(f"store sent a malformed list or watch response: {error!r}") from error
--- a/src/currantlead/sessions/eviction.py
+++ b/src/currantlead/sessions/eviction.py
@@ -61,6 +61,6 @@
         except errors.PlatformUnavailableError as error:
             _log.bind(member=name).warning("failed VM could not be removed from the members: {}", error)
             return
-        _log.bind(member=name, silent_s=EVICT_AFTER_S, revision=revision).warning(
+        _log.bind(member=name, silent_s=EVICT_AFTER_S, revision=objects.format_revision(revision)).warning(
             "failed VM removed from the members" if removed else "entry of a failed VM has changed, keeping it"
         )
--- a/src/currantlead/sessions/execution.py
+++ b/src/currantlead/sessions/execution.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable
 
 from currantlead import errors, logs
+from currantlead.platform import objects
 from currantlead.sessions import (
     clock,
     fleet,
@@ -272,7 +273,7 @@
             instance=target.tracked.instance.id,
             proof="lead" if target.after is None else str(target.after),
             sample_age_ms=None if target.sampled_at is None else round((now - target.sampled_at) * 1000),
-            entry_revision=target.tracked.instance.revision,
+            entry_revision=objects.format_revision(target.tracked.instance.revision),
             attempt_ms=round(duration_s * 1000, 1),
             since_arrival_ms=round((now - context.began_at) * 1000, 1),
         ).info(result)
--- a/src/currantlead/sessions/mirror.py
+++ b/src/currantlead/sessions/mirror.py
@@ -361,7 +361,9 @@
         """Increment the copy's version and notify the VMs that poll this one."""
         now = clock.now()
         age_s = None if math.isinf(copy.confirmed_at) else round(now - copy.confirmed_at, 3)
-        _log.bind(kind=copy.follower.kind, revision=copy.newest_revision, age_s=age_s).info("copy changed")
+        _log.bind(kind=copy.follower.kind, revision=objects.format_revision(copy.newest_revision), age_s=age_s).info(
+            "copy changed"
+        )
         copy.version += 1
         copy.relay_version = None
         for vm, polled_at in list(self._polled_at.items()):
--- a/src/currantlead/sessions/shared_state.py
+++ b/src/currantlead/sessions/shared_state.py
@@ -108,7 +108,9 @@
         for stored in present:
             if stored.name == objects.CONFIGURATION_NAME and stored.revision > self.configuration.revision:
                 self.configuration = objects.decode_configuration(stored)
-                _log.bind(version=self.configuration.version, revision=stored.revision).info("configuration applied")
+                _log.bind(version=self.configuration.version, revision=objects.format_revision(stored.revision)).info(
+                    "configuration applied"
+                )
                 self._on_limits_changed()
 
     def _replace_instances(self, present: tuple[objects.StoredObject, ...]) -> None:
--- a/src/currantlead/sessions/store.py
+++ b/src/currantlead/sessions/store.py
@@ -61,7 +61,7 @@
         self._client_lock = asyncio.Lock()
         self._available = asyncio.Event()
         self._available.set()
-        self._era: int | None = None
+        self._era = 0
 
     async def call(self, call: objects.Call, client: http.HttpClient | None = None, timeout_s: float = CALL_TIMEOUT_S):
         """Send a call and return its response.
@@ -101,10 +101,10 @@
         Raises:
             errors.PlatformUnavailableError: The store gave no usable response.
         """
-        response = await self._request(objects.read_call(kind, name))
+        response, era = await self._request(objects.read_call(kind, name))
         if response.status == objects.NOT_FOUND:
             return None
-        return objects.decode_object(response.body)
+        return objects.decode_object(response.body, era)
 
     async def create(self, kind: str, name: str, value: object) -> objects.StoredObject | None:
         """Create an object and return it, or None if an object of this name already exists.
@@ -112,19 +112,23 @@
         Raises:
             errors.PlatformUnavailableError: The store gave no usable response; the call may have taken effect.
         """
-        response = await self._request(objects.create_call(kind, name, value))
-        return None if response.status == objects.CONFLICT else objects.decode_object(response.body)
+        response, era = await self._request(objects.create_call(kind, name, value))
+        return None if response.status == objects.CONFLICT else objects.decode_object(response.body, era)
 
     async def replace(self, kind: str, name: str, value: object, revision: int | None) -> objects.StoredObject | None:
         """Replace an object and return it, or None if it doesn't exist or its revision isn't ``revision``.
 
+        A revision of an earlier era is never the object's: the store may have given its number to another change.
+
         Raises:
             errors.PlatformUnavailableError: The store gave no usable response; the call may have taken effect.
         """
-        response = await self._request(objects.replace_call(kind, name, value, revision))
+        response, era = await self._request(objects.replace_call(kind, name, value, revision))
         if response.status in (objects.CONFLICT, objects.NOT_FOUND):
             return None
-        return objects.decode_object(response.body)
+        if revision is not None and objects.era_of(revision) != era:
+            return None
+        return objects.decode_object(response.body, era)
 
     async def delete(self, kind: str, name: str, revision: int) -> bool:
         """Delete an object if its revision is ``revision``; return whether it was deleted.
@@ -132,29 +136,38 @@
         Raises:
             errors.PlatformUnavailableError: The store gave no usable response; the call may have taken effect.
         """
-        response = await self._request(objects.delete_call(kind, name, revision))
+        response, _ = await self._request(objects.delete_call(kind, name, revision))
         return response.status not in (objects.CONFLICT, objects.NOT_FOUND)
 
-    async def _request(self, call: objects.Call) -> http.Response:
+    async def _request(self, call: objects.Call) -> tuple[http.Response, int]:
+        """Send a call on the shared connection and return the response and its era."""
         try:
             response = await self.call(call)
         except errors.HttpUnavailableError as error:
             raise errors.PlatformUnavailableError(str(error)) from error
-        self._track_era(response)
+        era = self._read_era(response)
         if response.status not in (objects.OK, objects.CREATED, objects.NOT_FOUND, objects.CONFLICT):
             raise errors.PlatformUnavailableError(
                 f"store answered status {response.status} to {call.method} {call.path}"
             )
-        return response
+        return response, era
+
+    def _read_era(self, response: http.Response) -> int:
+        """Return the era in which the store sent a response; without a header, the last known era.
 
-    def _track_era(self, response: http.Response) -> None:
-        """Record the era that a response of the store names."""
+        Raises:
+            errors.PlatformUnavailableError: The era has ended, so the response may lack what was stored since.
+            errors.MalformedObjectError: The era is malformed.
+        """
         era = objects.decode_era(response.headers)
-        if era is None or era == self._era:
-            return
-        if self._era is not None:
+        if era is None:
+            return self._era
+        if era < self._era:
+            raise errors.PlatformUnavailableError(f"store answered from era {era}, after one from era {self._era}")
+        if self._era and era > self._era:
             _log.bind(era=era, previous_era=self._era).warning("store was restored from a copy")
         self._era = era
+        return era
 
     def set_available(self, available: bool) -> None:
         """Set whether followers that do not retry during an outage may call the store before another one reached it."""
@@ -189,7 +202,7 @@
             try:
                 if follower.revision is None:
                     follower.revision, confirmed_at = await self._list(client, follower)
-                    _log.bind(kind=follower.kind, revision=follower.revision).info(
+                    _log.bind(kind=follower.kind, revision=objects.format_revision(follower.revision)).info(
                         "loaded all objects of this kind from the store"
                     )
                 else:
@@ -228,14 +241,16 @@
         after, revision = "", None
         while True:
             response = await self.call(objects.list_call(follower.kind, after), client)
-            self._track_era(response)
+            era = self._read_era(response)
             if response.status != objects.OK:
                 raise errors.PlatformUnavailableError(
                     f"store answered status {response.status} to list {follower.kind}"
                 )
-            page = objects.decode_page(response.body)
+            page = objects.decode_page(response.body, era)
             # Watching from the first page's revision also returns the changes made while the pages were read.
             revision = page.revision if revision is None else revision
+            if era != objects.era_of(revision):
+                raise errors.PlatformUnavailableError(f"store was restored while {follower.kind} was listed")
             listed += page.present
             after = page.continue_after
             if not after:
@@ -253,14 +268,17 @@
         requested_at = clock.now()
         call = objects.watch_call(follower.kind, follower.revision, wait_s)
         response = await self.call(call, client, wait_s + CALL_TIMEOUT_S)
-        self._track_era(response)
-        if response.status == objects.HISTORY_GONE:
-            _log.bind(kind=follower.kind, revision=follower.revision).info("store dropped its history, listing again")
+        era = self._read_era(response)
+        if response.status == objects.HISTORY_GONE or objects.era_of(follower.revision) != era:
+            # In another era, the same number may stand for another change.
+            _log.bind(kind=follower.kind, revision=objects.format_revision(follower.revision)).info(
+                "store dropped its history, listing again"
+            )
             follower.revision = None
             return float("-inf")
         if response.status != objects.OK:
             raise errors.PlatformUnavailableError(f"store answered status {response.status} to watch {follower.kind}")
-        page = objects.decode_page(response.body)
+        page = objects.decode_page(response.body, era)
         follower.revision = page.revision
         if page.present or page.removed:
             follower.on_changed(page.present, page.removed)
--- a/tests/standins/object_store.py
+++ b/tests/standins/object_store.py
@@ -16,6 +16,7 @@
     """HTTP server on a loopback port that stores objects by kind and name.
 
     Attributes:
+        era: Number of the store's era; it is restored with a new one.
         objects: Objects by kind and name.
         calls: Method and path of each call, in order.
         fault: Called with method and path of each call. Returns the fault to inject: a status to respond with without
@@ -27,6 +28,7 @@
     """
 
     def __init__(self) -> None:
+        self.era = 1
         self.revision = 1
         self.objects: dict[str, dict[str, dict[str, Any]]] = {}
         self.history: list[tuple[int, str, dict[str, Any], bool]] = []
@@ -87,6 +89,19 @@
         self._announces_gaps = announced
         self._wake_watches()
 
+    def copy(self) -> tuple[int, dict[str, dict[str, dict[str, Any]]]]:
+        """Return a copy of the store, from which ``restore`` can restore it."""
+        return self.revision, {kind: dict(found) for kind, found in self.objects.items()}
+
+    def restore(self, copied: tuple[int, dict[str, dict[str, dict[str, Any]]]]) -> None:
+        """Restore the store from a copy: what was written since is lost, and revisions are given out again."""
+        self.revision, found_by_kind = copied
+        self.objects = {kind: dict(found) for kind, found in found_by_kind.items()}
+        self.history.clear()
+        self.history_from = self.revision
+        self.era += 1
+        self.reset_connections()
+
     def _append_history(self, kind: str, stored: dict[str, Any], *, deleted: bool) -> None:
         self.history.append((self.revision, kind, stored, deleted))
         self._wake_watches()
@@ -139,6 +154,8 @@
             return False
         data = json.dumps(answer).encode()
         fields = [("Content-Type", "application/json"), ("Content-Length", str(len(data)))]
+        if target.startswith(PREFIX):
+            fields.append(("Store-Era", str(self.era)))
         writer.write(protocol.send(h11.Response(status_code=status, headers=fields)))
         writer.write(protocol.send(h11.Data(data=data)) + protocol.send(h11.EndOfMessage()))
         await writer.drain()
@@ -188,6 +205,8 @@
                 if revision > since and changed == kind
             ]
             left = deadline - asyncio.get_running_loop().time()
+            if since > self.revision:
+                return 410, {}
             if since < self.history_from and (self._announces_gaps or events or left <= 0):
                 return 410, {}
             if events or left <= 0:
--- a/tests/test_platform_objects.py
+++ b/tests/test_platform_objects.py
@@ -86,7 +86,7 @@
             ],
         }
     )
-    page = objects.decode_page(body.encode())
+    page = objects.decode_page(body.encode(), 0)
     assert [item.name for item in page.present] == ["i-1"]
     assert page.removed == ("i-2",) and page.revision == 9
 
@@ -95,7 +95,7 @@
 def test_malformed_page_raises(body):
     """A malformed response raises, so that it counts as an outage rather than an empty list."""
     with pytest.raises(errors.MalformedObjectError):
-        objects.decode_page(body)
+        objects.decode_page(body, 0)
 
 
 SETTINGS_FILE = """
--- /dev/null
+++ b/tests/test_restored_store.py
@@ -0,0 +1,77 @@
+"""A store that is restored from a copy: it loses recent changes and gives out their revisions again."""
+
+import asyncio
+
+import pytest
+
+from currantlead.platform import objects
+from tests import session_bed
+
+
+async def wait_until(condition, timeout_s=3.0):
+    """Wait until a condition holds, and fail after ``timeout_s`` seconds."""
+    async with asyncio.timeout(timeout_s):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+
+
+@pytest.fixture
+async def restored():
+    """Provide a bed with two VMs of a failure domain and one of another, and a copy of the store."""
+    async with session_bed.Bed() as bed:
+        vms = [bed.daemon, await bed.add_daemon("vm-2", "z1"), await bed.add_daemon("vm-3", "z2")]
+        await wait_until(lambda: sum(vm.mirror.uses_relay for vm in vms) == 1)
+        yield bed, vms, bed.store.copy()
+
+
+async def test_configuration_at_a_revision_given_out_again_is_applied(restored):
+    """A changed configuration never came into force because its revision was that of a lost one."""
+    bed, vms, copied = restored
+    bed.store.put("config", "main", session_bed.configuration(3))
+    await wait_until(lambda: all(vm.configuration.version == 3 for vm in vms))
+    bed.store.restore(copied)
+    bed.store.put("config", "main", session_bed.configuration(4))
+    await wait_until(
+        lambda: all(vm.configuration.version == 4 for vm in vms), bed.daemon.settings.bounds.configuration_s
+    )
+
+
+async def test_watch_from_a_lost_revision_is_followed_by_a_list(restored):
+    """A watch must not go on from a revision that now stands for another change: what came before it was missed."""
+    bed, vms, copied = restored
+    bed.store.put("evacuations", "z2", {})
+    await wait_until(lambda: all(not vm.fleet.accepts_reads(vm.fleet.get("i-2")) for vm in vms))
+    # Pending watches outlive the restoration and are answered by another change of their kind.
+    bed.store.reset_connections = lambda: None
+    bed.store.restore(copied)
+    bed.store.put("evacuations", "z3", {})
+    bed.store.put("evacuations", "z2", {})
+    bounds = bed.daemon.settings.bounds
+    await wait_until(lambda: all(not vm.fleet.accepts_reads(vm.fleet.get("i-3")) for vm in vms), bounds.evacuation_s)
+
+
+async def test_promotion_after_a_restoration_has_a_higher_generation_number(restored):
+    """The platform refused each promotion until the restored store's revisions had passed those before."""
+    bed, vms, copied = restored
+    bed.store.revision += 100
+    bed.register_instance("i-1", state="draining")
+    await wait_until(lambda: bed.store.promotions)
+    await wait_until(lambda: all(vm.fleet.primary(session_bed.SERVICE).instance.id != "i-1" for vm in vms))
+    first_token = bed.store.promotions[-1][3]
+    bed.store.restore(copied)
+    for name in bed.service.instances:
+        bed.register_instance(name)
+    old_primary = bed.store.promotions[-1][1]
+    bed.register_instance(old_primary, state="draining")
+    await wait_until(lambda: len(bed.store.promotions) > 1, 8.0)
+    assert bed.store.promotions[-1][3] > first_token
+
+
+def test_revisions_are_ordered_across_eras():
+    """The last revision of one era precedes the first of the next, and a store without eras keeps its numbers."""
+    assert objects.combine_revision(1, 900) < objects.combine_revision(2, 3) < objects.combine_revision(2, 4)
+    assert objects.combine_revision(0, 7) == 7
+    assert objects.era_of(objects.combine_revision(2, 3)) == 2
+    assert objects.format_revision(objects.combine_revision(2, 3)) == "2.3"
+    call = objects.watch_call("config", objects.combine_revision(2, 3), 1.5)
+    assert call.path == "/currantlead/objects/config?watch=3&waitMs=1500"
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from currantlead.platform import objects
 from currantlead.sessions import clock, link, model, succession
 from tests import session_bed
 from tests.standins import line_instance
@@ -95,7 +96,7 @@
 
 async def test_higher_generation_stops_the_promotion(bed):
     """A promotion call refused for its generation number is not repeated with that number."""
-    bed.store.fences["svc1"] = (10**9, "vm-9")
+    bed.store.fences["svc1"] = (objects.combine_revision(bed.store.era + 1, 0), "vm-9")
     bed.register_instance("i-1", state="draining")
     await asyncio.sleep(1.5)
     assert bed.store.promotions == []
