Keep a configuration that is newer than a restored store's

What callers would see: routes and keys of an older configuration for as long as the operator has not written the last one again, a withdrawn key among them.

Cause: after a restoration every revision is higher than those before, so the restored configuration replaced the one in force, and confirmed it.

Test: fails on the previous commit (all VMs go back to version 1) and passes now.

--- a/src/currantlead/sessions/shared_state.py
+++ b/src/currantlead/sessions/shared_state.py
@@ -54,6 +54,7 @@
         self._failover = primary_failover
         self._on_limits_changed = on_limits_changed
         self._on_instances_changed = on_instances_changed
+        self._is_store_behind = False
         self._instances_loaded = False
         self._evacuated: set[str] = set()
         self._mirror: mirror.Mirror | None = None
@@ -73,7 +74,7 @@
                 CONFIGURATION_WAIT_S,
                 self._apply_configuration,
                 lambda present, removed: self._apply_configuration(present),
-                self._configuration_age.confirm,
+                self._confirm_configuration,
                 retries_during_outage=True,
             ),
             store.Follower(objects.INSTANCES, 0.0, self._replace_instances, self._update_instances),
@@ -105,13 +106,28 @@
             store_mirror.add_follower(follower)
 
     def _apply_configuration(self, present: tuple[objects.StoredObject, ...]) -> None:
+        """Apply the store's configuration unless it is older than the one in force.
+
+        A store that was restored from a copy has an older configuration until the operator writes the last one again.
+        """
         for stored in present:
-            if stored.name == objects.CONFIGURATION_NAME and stored.revision > self.configuration.revision:
-                self.configuration = objects.decode_configuration(stored)
-                _log.bind(version=self.configuration.version, revision=objects.format_revision(stored.revision)).info(
-                    "configuration applied"
-                )
-                self._on_limits_changed()
+            if stored.name != objects.CONFIGURATION_NAME or stored.revision <= self.configuration.revision:
+                continue
+            decoded = objects.decode_configuration(stored)
+            log = _log.bind(version=decoded.version, revision=objects.format_revision(stored.revision))
+            is_restored = objects.era_of(stored.revision) > objects.era_of(self.configuration.revision)
+            self._is_store_behind = is_restored and decoded.version < self.configuration.version
+            if self._is_store_behind:
+                log.warning("restored configuration is older than version {} in force", self.configuration.version)
+                continue
+            self.configuration = decoded
+            log.info("configuration applied")
+            self._on_limits_changed()
+
+    def _confirm_configuration(self, at: float) -> None:
+        """Record that the configuration in force was the store's at a clock reading, unless the store is behind it."""
+        if not self._is_store_behind:
+            self._configuration_age.confirm(at)
 
     def _replace_instances(self, present: tuple[objects.StoredObject, ...]) -> None:
         decoded = [objects.decode_instance(stored) for stored in present]
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -5,6 +5,7 @@
 import pytest
 
 from currantlead.platform import objects
+from currantlead.sessions import clock
 from tests import session_bed
 
 
@@ -75,3 +76,17 @@
     assert objects.format_revision(objects.combine_revision(2, 3)) == "2.3"
     call = objects.watch_call("config", objects.combine_revision(2, 3), 1.5)
     assert call.path == "/currantlead/objects/config?watch=3&waitMs=1500"
+
+
+async def test_older_configuration_of_a_restored_store_is_not_applied(restored):
+    """A configuration that is older than the one in force must not come back, nor count as confirmed."""
+    bed, vms, copied = restored
+    bed.store.put("config", "main", session_bed.configuration(3, tenants=[]))
+    await wait_until(lambda: all(vm.configuration.version == 3 for vm in vms))
+    bed.store.restore(copied)
+    await asyncio.sleep(2.0)
+    assert all(vm.configuration.version == 3 for vm in vms)
+    assert all(vm.configuration_age.age_s(clock.now()) > 1.5 for vm in vms)
+    bed.store.put("config", "main", session_bed.configuration(3, tenants=[]))
+    await wait_until(lambda: all(vm.configuration_age.age_s(clock.now()) < 1.0 for vm in vms))
+    assert all(vm.configuration.version == 3 for vm in vms)
