Divide the copies of the store's objects from the polls of relays

The state of one copy and its encoding move to sessions/copies.py; no behaviour changes. Tests of the mirror and of restored stores pass.

--- /dev/null
+++ b/src/currantlead/sessions/copies.py
@@ -0,0 +1,111 @@
+"""Local copy of one kind of the store's objects, and its encoding for other VMs."""
+
+import dataclasses
+import json
+import math
+import zlib
+from collections.abc import Iterable
+from typing import Any
+
+from currantlead import errors, logs
+from currantlead.platform import objects
+from currantlead.sessions import clock, store
+
+COMPRESSION_LEVEL = 1
+"""zlib compression level: a configuration of 100 KB is compressed in 1 ms to a tenth of its size."""
+
+_log = logs.part("store")
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class Copy:
+    """Hold the local copy of one kind of objects.
+
+    Attributes:
+        follower: Callbacks for changes, and the revision up to which the store was followed.
+        objects_by_name: Objects by name; None before the first list.
+        confirmed_at: Clock reading at which the copy was last known to be current.
+        version: Incremented with each change of the copy.
+        relay_version: The relay's version of the copy, or None if the copy was read from the store.
+        encoded: The version that was encoded last, with its bytes.
+    """
+
+    follower: store.Follower
+    objects_by_name: dict[str, objects.StoredObject] | None = None
+    confirmed_at: float = float("-inf")
+    version: int = 0
+    relay_version: str | None = None
+    encoded: tuple[int, bytes] | None = None
+
+    def replace(self, present: Iterable[objects.StoredObject]) -> bool:
+        """Replace the objects by a complete list; return whether that changed any."""
+        by_name = {stored.name: stored for stored in present}
+        if by_name == self.objects_by_name:
+            self.relay_version = None
+            return False
+        self.objects_by_name = by_name
+        self._record_change()
+        return True
+
+    def update(self, present: Iterable[objects.StoredObject], removed: Iterable[str]) -> None:
+        """Apply changed and removed objects."""
+        self.objects_by_name.update({stored.name: stored for stored in present})
+        for name in removed:
+            self.objects_by_name.pop(name, None)
+        self._record_change()
+
+    def _record_change(self) -> None:
+        age_s = None if math.isinf(self.confirmed_at) else round(clock.now() - self.confirmed_at, 3)
+        revision = objects.format_revision(self.newest_revision)
+        _log.bind(kind=self.follower.kind, revision=revision, age_s=age_s).info("copy changed")
+        self.version += 1
+        self.relay_version = None
+
+    def encode(self) -> bytes:
+        """Return the objects as compressed JSON for other VMs; JSON carries any string, also lone surrogates."""
+        if self.encoded is None or self.encoded[0] != self.version:
+            entries = [[stored.name, stored.revision, stored.value] for stored in (self.objects_by_name or {}).values()]
+            self.encoded = self.version, zlib.compress(json.dumps(entries).encode(), COMPRESSION_LEVEL)
+        return self.encoded[1]
+
+    @property
+    def newest_revision(self) -> int:
+        """Return the highest revision among the objects of the copy."""
+        return max((stored.revision for stored in (self.objects_by_name or {}).values()), default=0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayedCopy:
+    """Copy of one kind of objects in a relay's response.
+
+    Attributes:
+        version: The relay's version of the copy.
+        age_s: Seconds since the relay last confirmed it.
+        present: The objects, or None if the receiver already has this version.
+    """
+
+    version: str
+    age_s: float
+    present: tuple[objects.StoredObject, ...] | None
+
+
+def decode_relayed(kind: str, entry: Any) -> RelayedCopy:
+    """Decode one kind of objects in a relay's response.
+
+    Raises:
+        errors.MalformedObjectError: The entry is malformed, or its age is negative.
+    """
+    try:
+        version, age_s, encoded = entry
+        # A negative age would confirm the configuration for a time that has not come yet; NaN fails the check too.
+        if not isinstance(version, str) or not age_s >= 0.0:
+            raise ValueError(f"version {version!r}, age {age_s!r}")
+        present = None
+        if encoded is not None:
+            present = tuple(
+                objects.StoredObject(str(name), int(revision), value)
+                for name, revision, value in json.loads(zlib.decompress(encoded))
+            )
+    except (TypeError, ValueError, zlib.error) as error:
+        raise errors.MalformedObjectError(f"copy of {kind} from a relay is malformed: {error!r}") from error
+    return RelayedCopy(version, float(age_s), present)
--- a/src/currantlead/sessions/mirror.py
+++ b/src/currantlead/sessions/mirror.py
@@ -6,18 +6,13 @@
 """
 
 import asyncio
-import dataclasses
-import json
-import math
 import secrets
-import zlib
-from collections.abc import Sequence
 from typing import Any
 
 from currantlead import errors, logs
 from currantlead.peers import network
 from currantlead.platform import objects
-from currantlead.sessions import clock, liveness, members, relay_choice, sampling, store
+from currantlead.sessions import clock, copies, liveness, members, relay_choice, sampling, store
 
 POLL, CHANGED = "poll", "changed"
 SAMPLES = "samples"
@@ -33,84 +28,12 @@
 GATHER_S = 0.4
 """Time after which a VM that found no others in its failure domain lists the members again: VMs that are started
 together register within 0.3 s."""
-COMPRESSION_LEVEL = 1
-"""zlib compression level: a configuration of 100 KB is compressed in 1 ms to a tenth of its size."""
 LISTENER_TIMEOUT_S = 2.0
 """A VM that has not polled for this long is no longer notified of changes."""
 
 _log = logs.part("store")
 
 
-@dataclasses.dataclass(eq=False, slots=True)
-class _Copy:
-    """Hold the local copy of one kind of objects.
-
-    Attributes:
-        follower: Callbacks for changes, and the revision up to which the store was followed.
-        objects_by_name: Objects by name; None before the first list.
-        confirmed_at: Clock reading at which the copy was last known to be current.
-        version: Incremented with each change of the copy.
-        relay_version: The relay's version of the copy, or None if the copy was read from the store.
-        encoded: The version that was encoded last, with its bytes.
-    """
-
-    follower: store.Follower
-    objects_by_name: dict[str, objects.StoredObject] | None = None
-    confirmed_at: float = float("-inf")
-    version: int = 0
-    relay_version: str | None = None
-    encoded: tuple[int, bytes] | None = None
-
-    def encode(self) -> bytes:
-        """Return the objects as compressed JSON for other VMs; JSON carries any string, also lone surrogates."""
-        if self.encoded is None or self.encoded[0] != self.version:
-            entries = [[stored.name, stored.revision, stored.value] for stored in (self.objects_by_name or {}).values()]
-            self.encoded = self.version, zlib.compress(json.dumps(entries).encode(), COMPRESSION_LEVEL)
-        return self.encoded[1]
-
-    @property
-    def newest_revision(self) -> int:
-        """Return the highest revision among the objects of the copy."""
-        return max((stored.revision for stored in (self.objects_by_name or {}).values()), default=0)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _RelayedCopy:
-    """Copy of one kind of objects in a relay's response.
-
-    Attributes:
-        version: The relay's version of the copy.
-        age_s: Seconds since the relay last confirmed it.
-        present: The objects, or None if the receiver already has this version.
-    """
-
-    version: str
-    age_s: float
-    present: tuple[objects.StoredObject, ...] | None
-
-
-def _decode_relayed(kind: str, entry: Any) -> _RelayedCopy:
-    """Decode one kind of objects in a relay's response.
-
-    Raises:
-        errors.MalformedObjectError: The entry is malformed, or its age is negative.
-    """
-    try:
-        version, age_s, encoded = entry
-        # A negative age would confirm the configuration for a time that has not come yet; NaN fails the check too.
-        if not isinstance(version, str) or not age_s >= 0.0:
-            raise ValueError(f"version {version!r}, age {age_s!r}")
-        present = None
-        if encoded is not None:
-            present = tuple(
-                objects.StoredObject(str(name), int(revision), value)
-                for name, revision, value in json.loads(zlib.decompress(encoded))
-            )
-    except (TypeError, ValueError, zlib.error) as error:
-        raise errors.MalformedObjectError(f"copy of {kind} from a relay is malformed: {error!r}") from error
-    return _RelayedCopy(version, float(age_s), present)
-
-
 class Mirror:
     """Keep local copies of the store's objects and serve them to other VMs of the failure domain.
 
@@ -132,7 +55,7 @@
         self._peers = peers
         self._liveness = peer_liveness
         self._members = known_members
-        self._copies: dict[str, _Copy] = {}
+        self._copies: dict[str, copies.Copy] = {}
         self._follow_tasks: list[asyncio.Task[None]] = []
         self._polled_at: dict[str, float] = {}
         self._stale_until: dict[str, float] = {}
@@ -176,18 +99,17 @@
 
     def add_follower(self, follower: store.Follower) -> None:
         """Keep a copy of the follower's kind and notify the follower of its changes; call it before ``run``."""
-        copy = _Copy(follower)
+        copy = copies.Copy(follower)
         on_listed, on_changed, on_confirmed = follower.on_listed, follower.on_changed, follower.on_confirmed
 
         def listed(present: tuple[objects.StoredObject, ...]) -> None:
-            self._replace_objects(copy, present)
+            if copy.replace(present):
+                self._notify_listeners()
             on_listed(present)
 
         def changed(present: tuple[objects.StoredObject, ...], removed: tuple[str, ...]) -> None:
-            copy.objects_by_name.update({stored.name: stored for stored in present})
-            for name in removed:
-                copy.objects_by_name.pop(name, None)
-            self._record_change(copy)
+            copy.update(present, removed)
+            self._notify_listeners()
             on_changed(present, removed)
 
         def confirmed(at: float) -> None:
@@ -327,7 +249,7 @@
         """
         if any(kind not in response for kind in self._copies):
             return False
-        relayed = {kind: _decode_relayed(kind, response[kind]) for kind in self._copies}
+        relayed = {kind: copies.decode_relayed(kind, response[kind]) for kind in self._copies}
         elapsed_s = clock.now() - requested_at
         if any(
             relay_choice.delay_s(relayed[kind].age_s + elapsed_s, copy.follower.wait_s) > relay_choice.MAX_RELAY_DELAY_S
@@ -349,23 +271,9 @@
             self._sampler.merge(response.get(SAMPLES, {}), requested_at)
         return True
 
-    def _replace_objects(self, copy: _Copy, present: Sequence[objects.StoredObject]) -> None:
-        by_name = {stored.name: stored for stored in present}
-        changed = by_name != copy.objects_by_name
-        copy.objects_by_name = by_name
-        copy.relay_version = None
-        if changed:
-            self._record_change(copy)
-
-    def _record_change(self, copy: _Copy) -> None:
-        """Increment the copy's version and notify the VMs that poll this one."""
+    def _notify_listeners(self) -> None:
+        """Notify the VMs that poll this one of a change."""
         now = clock.now()
-        age_s = None if math.isinf(copy.confirmed_at) else round(now - copy.confirmed_at, 3)
-        _log.bind(kind=copy.follower.kind, revision=objects.format_revision(copy.newest_revision), age_s=age_s).info(
-            "copy changed"
-        )
-        copy.version += 1
-        copy.relay_version = None
         for vm, polled_at in list(self._polled_at.items()):
             if now - polled_at > LISTENER_TIMEOUT_S:
                 del self._polled_at[vm]
