Judge a relay's copy by the revision as of which it is known

Cause: a relay's copy was compared by the highest revision among its objects, which falls when one is deleted and is 0 when none is left. This belongs to the restored store's class: an order taken from something that does not only grow.

Change: each relayed copy says as of which revision of the store it is known, and is refused if the receiver's copy changed at a later one. The follower keeps the revision of a relayed copy; turning to the store still begins with a list.

--- a/src/currantlead/sessions/copies.py
+++ b/src/currantlead/sessions/copies.py
@@ -22,9 +22,11 @@
     """Hold the local copy of one kind of objects.
 
     Attributes:
-        follower: Callbacks for changes, and the revision up to which the store was followed.
+        follower: Callbacks for changes.
         objects_by_name: Objects by name; None before the first list.
         confirmed_at: Clock reading at which the copy was last known to be current.
+        as_of: Revision of the store as of which the copy is known.
+        changed_at: Revision as of which it changed last; a copy as of an earlier one is older.
         version: Incremented with each change of the copy.
         relay_version: The relay's version of the copy, or None if the copy was read from the store.
         encoded: The version that was encoded last, with its bytes.
@@ -33,30 +35,49 @@
     follower: store.Follower
     objects_by_name: dict[str, objects.StoredObject] | None = None
     confirmed_at: float = float("-inf")
+    as_of: int = 0
+    changed_at: int = 0
     version: int = 0
     relay_version: str | None = None
     encoded: tuple[int, bytes] | None = None
 
-    def replace(self, present: Iterable[objects.StoredObject]) -> bool:
-        """Replace the objects by a complete list; return whether that changed any."""
+    def replace(self, present: Iterable[objects.StoredObject], as_of: int) -> bool:
+        """Replace the objects by a complete list; return whether that changed any.
+
+        Args:
+            present: The list.
+            as_of: Revision of the store as of which it was read.
+        """
+        known = self.objects_by_name
         by_name = {stored.name: stored for stored in present}
-        if by_name == self.objects_by_name:
+        self.as_of = as_of
+        if by_name == known:
             self.relay_version = None
             return False
+        removed = known is not None and known.keys() - by_name.keys()
         self.objects_by_name = by_name
-        self._record_change()
+        self._record_change(as_of if removed else self.newest_revision)
         return True
 
-    def update(self, present: Iterable[objects.StoredObject], removed: Iterable[str]) -> None:
-        """Apply changed and removed objects."""
-        self.objects_by_name.update({stored.name: stored for stored in present})
+    def update(self, present: Iterable[objects.StoredObject], removed: Iterable[str], as_of: int) -> None:
+        """Apply changed and removed objects.
+
+        Args:
+            present: Changed objects.
+            removed: Names of removed objects.
+            as_of: Revision of the store as of which the changes were read.
+        """
+        changed, removed = {stored.name: stored for stored in present}, set(removed)
+        self.objects_by_name |= changed
         for name in removed:
             self.objects_by_name.pop(name, None)
-        self._record_change()
+        self.as_of = as_of
+        self._record_change(as_of if removed else self.newest_revision)
 
-    def _record_change(self) -> None:
+    def _record_change(self, changed_at: int) -> None:
+        self.changed_at = max(self.changed_at, changed_at)
         age_s = None if math.isinf(self.confirmed_at) else round(clock.now() - self.confirmed_at, 3)
-        revision = objects.format_revision(self.newest_revision)
+        revision = objects.format_revision(self.changed_at)
         _log.bind(kind=self.follower.kind, revision=revision, age_s=age_s).info("copy changed")
         self.version += 1
         self.relay_version = None
@@ -81,25 +102,32 @@
     Attributes:
         version: The relay's version of the copy.
         age_s: Seconds since the relay last confirmed it.
+        as_of: Revision of the store as of which the relay knows it.
         present: The objects, or None if the receiver already has this version.
     """
 
     version: str
     age_s: float
+    as_of: int
     present: tuple[objects.StoredObject, ...] | None
 
 
-def decode_relayed(kind: str, entry: Any) -> RelayedCopy:
+def decode_relayed(kind: str, entry: Any, as_of: Any) -> RelayedCopy:
     """Decode one kind of objects in a relay's response.
 
+    Args:
+        kind: Kind of the objects.
+        entry: Version, age and encoded objects.
+        as_of: Revision of the store as of which the relay knows them.
+
     Raises:
         errors.MalformedObjectError: The entry is malformed, or its age is negative.
     """
     try:
         version, age_s, encoded = entry
         # A negative age would confirm the configuration for a time that has not come yet; NaN fails the check too.
-        if not isinstance(version, str) or not age_s >= 0.0:
-            raise ValueError(f"version {version!r}, age {age_s!r}")
+        if not isinstance(version, str) or not isinstance(as_of, int) or not age_s >= 0.0:
+            raise ValueError(f"version {version!r}, age {age_s!r}, as of {as_of!r}")
         present = None
         if encoded is not None:
             present = tuple(
@@ -108,4 +136,4 @@
             )
     except (TypeError, ValueError, zlib.error) as error:
         raise errors.MalformedObjectError(f"copy of {kind} from a relay is malformed: {error!r}") from error
-    return RelayedCopy(version, float(age_s), present)
+    return RelayedCopy(version, float(age_s), as_of, present)
--- a/src/currantlead/sessions/mirror.py
+++ b/src/currantlead/sessions/mirror.py
@@ -15,7 +15,7 @@
 from currantlead.sessions import clock, copies, liveness, members, relay_choice, sampling, store
 
 POLL, CHANGED = "poll", "changed"
-SAMPLES = "samples"
+SAMPLES, AS_OF = "samples", "as_of"
 POLL_INTERVAL_S = 0.5
 """Interval at which a relay is polled; a copy's age stays below the duration of the relay's watch
 and ``relay_choice.MAX_RELAY_DELAY_S``."""
@@ -103,17 +103,19 @@
         on_listed, on_changed, on_confirmed = follower.on_listed, follower.on_changed, follower.on_confirmed
 
         def listed(present: tuple[objects.StoredObject, ...]) -> None:
-            if copy.replace(present):
+            if copy.replace(present, follower.revision):
                 self._notify_listeners()
             on_listed(present)
 
         def changed(present: tuple[objects.StoredObject, ...], removed: tuple[str, ...]) -> None:
-            copy.update(present, removed)
+            copy.update(present, removed, follower.revision)
             self._notify_listeners()
             on_changed(present, removed)
 
         def confirmed(at: float) -> None:
             copy.confirmed_at = max(copy.confirmed_at, at)
+            if follower.revision is not None:
+                copy.as_of = follower.revision
             on_confirmed(at)
 
         follower.on_listed, follower.on_changed, follower.on_confirmed = listed, changed, confirmed
@@ -188,6 +190,10 @@
 
     def _select_source(self, relay: str) -> None:
         """Watch the store directly if ``relay`` is empty, and stop watching it otherwise."""
+        if self._relay and not relay:
+            # Without a list, the watches would confirm the copies only at their ends.
+            for copy in self._copies.values():
+                copy.follower.revision = None
         if relay != self._relay or (not relay and not self._follow_tasks):
             _log.bind(relay=relay or None).info("reading the store through a relay" if relay else "watching the store")
             self._relay = relay
@@ -247,25 +253,23 @@
         Raises:
             errors.MalformedObjectError: The response is malformed; nothing was applied.
         """
-        if any(kind not in response for kind in self._copies):
+        as_of = response.get(AS_OF)
+        if not isinstance(as_of, dict) or any(kind not in response or kind not in as_of for kind in self._copies):
             return False
-        relayed = {kind: copies.decode_relayed(kind, response[kind]) for kind in self._copies}
+        relayed = {kind: copies.decode_relayed(kind, response[kind], as_of[kind]) for kind in self._copies}
         elapsed_s = clock.now() - requested_at
         if any(
             relay_choice.delay_s(relayed[kind].age_s + elapsed_s, copy.follower.wait_s) > relay_choice.MAX_RELAY_DELAY_S
             for kind, copy in self._copies.items()
         ):
             return False
+        if any(relayed[kind].as_of < copy.changed_at for kind, copy in self._copies.items()):
+            return False
         for kind, copy in self._copies.items():
-            present = relayed[kind].present
-            if present is not None and max((item.revision for item in present), default=0) < copy.newest_revision:
-                return False
-        for kind, copy in self._copies.items():
+            copy.follower.revision = relayed[kind].as_of
             if relayed[kind].present is not None:
                 copy.follower.on_listed(relayed[kind].present)
             copy.relay_version = relayed[kind].version
-            # The response doesn't include the relay's watch revision, so a direct watch starts with a new list.
-            copy.follower.revision = None
             copy.follower.on_confirmed(requested_at - relayed[kind].age_s)
         if self._sampler is not None:
             self._sampler.merge(response.get(SAMPLES, {}), requested_at)
@@ -284,7 +288,7 @@
         """Serve the copies to another VM, without those that it already has in the current version."""
         now = clock.now()
         self._polled_at[vm] = now
-        response = {}
+        response: dict[str, Any] = {AS_OF: {}}
         for kind, known_version in body.items():
             copy = self._copies.get(kind)
             if copy is None or copy.objects_by_name is None:
@@ -294,6 +298,7 @@
             if known_version != version:
                 entries = copy.encode()
             response[kind] = [version, max(0.0, now - copy.confirmed_at), entries]
+            response[AS_OF][kind] = copy.as_of
         if self._sampler is not None:
             self._sampler.merge(body.get(SAMPLES, {}), now)
             response[SAMPLES] = self._sampler.encode_state(include_positions=True)
--- a/src/currantlead/sessions/store.py
+++ b/src/currantlead/sessions/store.py
@@ -184,7 +184,7 @@
             errors.PlatformUnavailableError: The store refused the call.
             errors.MalformedObjectError: The response is malformed.
         """
-        follower.revision, confirmed_at = await self._list(None, follower)
+        confirmed_at = await self._list(None, follower)
         follower.on_confirmed(confirmed_at)
 
     async def follow(self, follower: Follower) -> None:
@@ -201,7 +201,7 @@
         while True:
             try:
                 if follower.revision is None:
-                    follower.revision, confirmed_at = await self._list(client, follower)
+                    confirmed_at = await self._list(client, follower)
                     _log.bind(kind=follower.kind, revision=objects.format_revision(follower.revision)).info(
                         "loaded all objects of this kind from the store"
                     )
@@ -229,8 +229,8 @@
                 if not follower.retries_during_outage:
                     await self._available.wait()
 
-    async def _list(self, client: http.HttpClient | None, follower: Follower) -> tuple[int, float]:
-        """Read the complete list; return its revision and the clock reading at the start of the call.
+    async def _list(self, client: http.HttpClient | None, follower: Follower) -> float:
+        """Read the complete list, set the follower's revision, and return the clock reading at the start of the call.
 
         Args:
             client: Connection to use; None for the shared one.
@@ -255,8 +255,9 @@
             after = page.continue_after
             if not after:
                 break
+        follower.revision = revision
         follower.on_listed(tuple(listed))
-        return revision, requested_at
+        return requested_at
 
     async def _watch(self, client: http.HttpClient, follower: Follower, wait_s: float) -> float:
         """Wait for changes and apply them.
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -203,6 +203,18 @@
     assert relayed.configuration.version == 5
 
 
+async def test_relay_that_missed_a_deletion_counts_as_stale(three_vms):
+    """An evacuation that had ended came back from a relay that had not seen its end, and the reverse was refused."""
+    bed, relay, relayed, _ = three_vms
+    bed.store.put("evacuations", "z2", {})
+    await wait_until(lambda: not relayed.fleet.accepts_reads(relayed.fleet.get("i-2")))
+    older_response = relay.mirror._handle_poll("vm-9", dict.fromkeys(relayed.mirror._copies))
+    bed.store.delete("evacuations", "z2")
+    await wait_until(lambda: relayed.fleet.accepts_reads(relayed.fleet.get("i-2")))
+    assert relayed.mirror.uses_relay
+    assert not relayed.mirror._apply_response(older_response, clock.now())
+
+
 @given(
     st.dictionaries(
         st.sampled_from(["config", "servers", "evacuations", "members", "duties", "samples"]),
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -90,3 +90,15 @@
     bed.store.put("config", "main", session_bed.configuration(3, tenants=[]))
     await wait_until(lambda: all(vm.configuration_age.age_s(clock.now()) < 1.0 for vm in vms))
     assert all(vm.configuration.version == 3 for vm in vms)
+
+
+async def test_relay_that_has_not_seen_the_restoration_is_not_used(restored, monkeypatch):
+    """Copies of a relay that is cut off from the store must not replace those of the restored store."""
+    bed, vms, copied = restored
+    relayed = next(vm for vm in vms if vm.mirror.uses_relay)
+    relay = next(vm for vm in vms if vm is not relayed and vm.settings.domain == relayed.settings.domain)
+    response = relay.mirror._handle_poll("vm-9", dict.fromkeys(relayed.mirror._copies))
+    bed.store.restore(copied)
+    bed.store.put("config", "main", session_bed.configuration(5))
+    await wait_until(lambda: relayed.configuration.version == 5)
+    assert not relayed.mirror._apply_response(response, clock.now())
