Keep what a restored store has lost until its writers write it again

What callers would see after a restoration: work in a failure domain whose evacuation the store has lost for a moment; more requests than an organisation's rate allows, because the VMs that registered since the copy are missing from the members and the others divide the rates among fewer; a promotion of a live primary whose entry is missing.

Cause: the first list of the new era was taken as complete. Class: absence from a store that is known to have lost writes taken for a deletion.

Change: objects that are missing from the first list of a new era stay in the copy, and in what a relay hands on, for 4 s; an object that is written again, or whose deletion is announced, leaves that state at once. A VM's own entry is not kept, so that the VM registers again (2.5 s).

A lost object that nobody writes again is removed after the grace.

--- a/src/currantlead/sessions/copies.py
+++ b/src/currantlead/sessions/copies.py
@@ -14,6 +14,10 @@
 COMPRESSION_LEVEL = 1
 """zlib compression level: a configuration of 100 KB is compressed in 1 ms to a tenth of its size."""
 
+RESTORATION_GRACE_S = 4.0
+"""Time for which objects that a restored store lacks are kept: instances write their entries again within about 2 s,
+and VMs register again within 2.5 s."""
+
 _log = logs.part("store")
 
 
@@ -23,6 +27,7 @@
 
     Attributes:
         follower: Callbacks for changes.
+        own_name: Name of the object that this VM keeps in the store itself, or empty.
         objects_by_name: Objects by name; None before the first list.
         confirmed_at: Clock reading at which the copy was last known to be current.
         as_of: Revision of the store as of which the copy is known.
@@ -30,9 +35,12 @@
         version: Incremented with each change of the copy.
         relay_version: The relay's version of the copy, or None if the copy was read from the store.
         encoded: The version that was encoded last, with its bytes.
+        missing: Names of the objects that a restored store lacks and that are kept for a while.
+        kept_until: Clock reading until which they are kept.
     """
 
     follower: store.Follower
+    own_name: str = ""
     objects_by_name: dict[str, objects.StoredObject] | None = None
     confirmed_at: float = float("-inf")
     as_of: int = 0
@@ -40,16 +48,30 @@
     version: int = 0
     relay_version: str | None = None
     encoded: tuple[int, bytes] | None = None
+    missing: set[str] = dataclasses.field(default_factory=set)
+    kept_until: float = float("-inf")
 
     def replace(self, present: Iterable[objects.StoredObject], as_of: int) -> bool:
         """Replace the objects by a complete list; return whether that changed any.
 
+        Objects that a restored store lacks are kept for ``RESTORATION_GRACE_S``, in which their writers notice the loss
+        and write them again.
+
         Args:
             present: The list.
             as_of: Revision of the store as of which it was read.
         """
         known = self.objects_by_name
         by_name = {stored.name: stored for stored in present}
+        if known is not None and objects.era_of(as_of) > objects.era_of(self.as_of):
+            self.missing = known.keys() - by_name.keys() - {self.own_name}
+            self.kept_until = clock.now() + RESTORATION_GRACE_S
+            if self.missing:
+                _log.bind(kind=self.follower.kind, names=sorted(self.missing)).warning(
+                    "restored store lacks objects, keeping them for {} s", RESTORATION_GRACE_S
+                )
+        self.missing -= by_name.keys()
+        by_name |= {name: known[name] for name in self.missing}
         self.as_of = as_of
         if by_name == known:
             self.relay_version = None
@@ -71,9 +93,14 @@
         self.objects_by_name |= changed
         for name in removed:
             self.objects_by_name.pop(name, None)
+        self.missing -= changed.keys() | removed
         self.as_of = as_of
         self._record_change(as_of if removed else self.newest_revision)
 
+    def expire_missing(self, now: float) -> tuple[str, ...]:
+        """Return the names of the objects whose writers have not written them again in time."""
+        return tuple(sorted(self.missing)) if now > self.kept_until else ()
+
     def _record_change(self, changed_at: int) -> None:
         self.changed_at = max(self.changed_at, changed_at)
         age_s = None if math.isinf(self.confirmed_at) else round(clock.now() - self.confirmed_at, 3)
--- a/src/currantlead/sessions/mirror.py
+++ b/src/currantlead/sessions/mirror.py
@@ -99,16 +99,17 @@
 
     def add_follower(self, follower: store.Follower) -> None:
         """Keep a copy of the follower's kind and notify the follower of its changes; call it before ``run``."""
-        copy = copies.Copy(follower)
+        copy = copies.Copy(follower, self._members.own.name if follower.kind == objects.MEMBERS else "")
         on_listed, on_changed, on_confirmed = follower.on_listed, follower.on_changed, follower.on_confirmed
 
         def listed(present: tuple[objects.StoredObject, ...]) -> None:
             if copy.replace(present, follower.revision):
                 self._notify_listeners()
-            on_listed(present)
+            on_listed(tuple(copy.objects_by_name.values()))
 
         def changed(present: tuple[objects.StoredObject, ...], removed: tuple[str, ...]) -> None:
-            copy.update(present, removed, follower.revision)
+            # A follower that has lost the store knows no revision to watch from.
+            copy.update(present, removed, copy.as_of if follower.revision is None else follower.revision)
             self._notify_listeners()
             on_changed(present, removed)
 
@@ -137,10 +138,19 @@
                 else:
                     if relay or self._should_watch_store(started_at):
                         self._select_source(relay)
+                self._remove_expired()
                 await self._wait_for_next_poll()
         finally:
             self._stop_following()
 
+    def _remove_expired(self) -> None:
+        """Remove the objects that a restored store lacks and that nobody has written again."""
+        for copy in self._copies.values():
+            expired = copy.expire_missing(clock.now())
+            if expired:
+                _log.bind(kind=copy.follower.kind, names=expired).warning("objects lost by the restored store removed")
+                copy.follower.on_changed((), expired)
+
     async def _load_members(self) -> None:
         """List the members once, so that this VM can use a relay from the start.
 
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -5,7 +5,7 @@
 import pytest
 
 from currantlead.platform import objects
-from currantlead.sessions import clock
+from currantlead.sessions import clock, copies
 from tests import session_bed
 
 
@@ -92,6 +92,48 @@
     assert all(vm.configuration.version == 3 for vm in vms)
 
 
+async def test_members_lost_by_a_restored_store_are_counted_until_they_register_again(restored):
+    """VMs missing from a restored list would raise the others' shares of rates and connections."""
+    bed, vms, copied = restored
+    vms.append(await bed.add_daemon("vm-4", "z2"))
+    await wait_until(lambda: all(vm.members.count == 4 for vm in vms))
+    bed.store.restore(copied)
+    fewest = 4
+    for _ in range(600):
+        await asyncio.sleep(0.01)
+        fewest = min(fewest, *(vm.members.count for vm in vms))
+    assert fewest == 4
+    assert set(bed.store.objects["members"]) == {"vm-1", "vm-2", "vm-3", "vm-4"}
+
+
+async def test_evacuation_lost_by_a_restored_store_stays_until_it_is_written_again(restored):
+    """An evacuated domain would get work until the operator has written the evacuation again."""
+    bed, vms, copied = restored
+    bed.store.put("evacuations", "z2", {})
+    await wait_until(lambda: all(not vm.fleet.accepts_reads(vm.fleet.get("i-2")) for vm in vms))
+    bed.store.restore(copied)
+    served = False
+    for number in range(300):
+        await asyncio.sleep(0.01)
+        served = served or any(vm.fleet.accepts_reads(vm.fleet.get("i-2")) for vm in vms)
+        if number == 100:
+            bed.store.put("evacuations", "z2", {})
+    assert not served
+    bed.store.delete("evacuations", "z2")
+    await wait_until(lambda: all(vm.fleet.accepts_reads(vm.fleet.get("i-2")) for vm in vms))
+
+
+async def test_object_that_is_not_written_again_is_removed_after_the_restoration(restored):
+    """An evacuation that the restored store lost for good must not keep its domain out of service."""
+    bed, vms, copied = restored
+    bed.store.put("evacuations", "z2", {})
+    await wait_until(lambda: all(not vm.fleet.accepts_reads(vm.fleet.get("i-2")) for vm in vms))
+    bed.store.restore(copied)
+    await wait_until(
+        lambda: all(vm.fleet.accepts_reads(vm.fleet.get("i-2")) for vm in vms), copies.RESTORATION_GRACE_S + 2.0
+    )
+
+
 async def test_relay_that_has_not_seen_the_restoration_is_not_used(restored, monkeypatch):
     """Copies of a relay that is cut off from the store must not replace those of the restored store."""
     bed, vms, copied = restored
