Keep what is known of an instance when the store is restored

What callers would see: work sent to an instance that drains; the address of an instance's earlier start; writes that reach an old primary first, again and again, because its restored entry has a higher revision than the present primary's own.

Cause: the entries of a restored store were taken as newer in every field.

Change: an entry of a new era changes neither the start of an instance to an earlier one nor a drain back, until the instance is gone or starts again. An entry that turns from primary to replica gives up the claim to be primary if another instance reports it; before, the highest revision ever seen decided.

--- a/src/currantlead/sessions/fleet.py
+++ b/src/currantlead/sessions/fleet.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable, Mapping
 
 from currantlead import logs
+from currantlead.platform import objects
 from currantlead.sessions import clock, election, model, settings
 
 LAPSE_GRACE_S = 2.0
@@ -117,6 +118,8 @@
         if tracked is not None and tracked.instance.service != instance.service:
             self._forget(tracked)
             tracked = None
+        if tracked is not None:
+            instance = _reconcile(tracked.instance, instance)
         if tracked is None or tracked.instance.started_at_ms != instance.started_at_ms:
             tracked = self._instances[instance.id] = TrackedInstance(instance)
             self._by_service.setdefault(instance.service, {})[instance.id] = tracked
@@ -130,6 +133,11 @@
             tracked.not_primary_at = tracked.failing_since = tracked.stuck_since = None
             self._last_promotion_at[instance.service] = clock.now()
             _log.bind(instance=instance.id, service=instance.service).info("instance is primary")
+        elif instance.role is model.Role.REPLICA and tracked.instance.role is model.Role.PRIMARY:
+            # A restored store may name an old primary at a later revision than the present one.
+            others = (other for other in self.instances_of(instance.service) if other is not tracked)
+            if any(other.instance.role is model.Role.PRIMARY for other in others):
+                tracked.primary_since = 0
         tracked.instance = instance
         tracked.lapsed_at = None
         if not instance.draining:
@@ -365,3 +373,18 @@
     def _notify_waiters(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
+
+
+def _reconcile(known: model.Instance, entry: model.Instance) -> model.Instance:
+    """Return an instance's entry without what a restored store has forgotten of it.
+
+    An instance neither returns to an earlier start nor takes back a drain. The known revision stays, so that the same
+    holds for the restored entry when it is read again.
+    """
+    if objects.era_of(entry.revision) <= objects.era_of(known.revision):
+        return entry
+    if 0 < entry.started_at_ms < known.started_at_ms:
+        return known
+    if known.draining and entry.started_at_ms == known.started_at_ms:
+        return dataclasses.replace(entry, draining=True, revision=known.revision)
+    return entry
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,6 +5,7 @@
 import hypothesis
 from hypothesis import strategies as st
 
+from currantlead.platform import objects
 from currantlead.sessions import clock, fleet, model, settings
 
 PRIMARY = model.Instance("i-1", "svc1", "127.0.0.1", 1, "z1", False, model.Role.PRIMARY, 5, 1)
@@ -63,3 +64,40 @@
     (tracked,) = instances.instances_of("svc1")
     assert not instances.is_suspect(tracked) and tracked.primary_since == 0
     assert instances.primary("svc1") is None
+
+
+def test_restored_entry_of_an_earlier_start_is_ignored():
+    """A restored store has the entry of an instance's earlier start, whose address may belong to another one now."""
+    instances = make_fleet()
+    instances.update(dataclasses.replace(PRIMARY, started_at_ms=2, port=2), clock.now())
+    restored = objects.combine_revision(1, 3)
+    instances.update(dataclasses.replace(PRIMARY, started_at_ms=1, port=1, revision=restored), clock.now())
+    (tracked,) = instances.instances_of("svc1")
+    assert (tracked.instance.started_at_ms, tracked.instance.port) == (2, 2)
+
+
+def test_restored_entry_does_not_end_a_drain():
+    """An instance that drains got new work again when the store was restored from a copy of before."""
+    instances = make_fleet()
+    instances.update(dataclasses.replace(PRIMARY, role=model.Role.REPLICA, draining=True), clock.now())
+    restored = dataclasses.replace(PRIMARY, role=model.Role.REPLICA, revision=objects.combine_revision(1, 3))
+    instances.update(restored, clock.now())
+    (tracked,) = instances.instances_of("svc1")
+    assert not instances.accepts_reads(tracked) and tracked.draining_since is not None
+    instances.update(dataclasses.replace(restored, started_at_ms=2), clock.now())
+    (tracked,) = instances.instances_of("svc1")
+    assert instances.accepts_reads(tracked)
+
+
+def test_restored_entry_of_an_old_primary_does_not_outlast_its_correction():
+    """The entry of an old primary stayed newer than the primary's own, so writes went to the wrong instance."""
+    instances = make_fleet()
+    old, new = PRIMARY, dataclasses.replace(PRIMARY, id="i-2", domain="z2", revision=7)
+    for entry in (old, dataclasses.replace(old, role=model.Role.REPLICA, revision=6), new):
+        instances.update(entry, clock.now())
+    assert instances.primary("svc1").instance.id == "i-2"
+    restored = dataclasses.replace(old, revision=objects.combine_revision(1, 5))
+    instances.update(restored, clock.now())
+    corrected = dataclasses.replace(old, role=model.Role.REPLICA, revision=objects.combine_revision(1, 9))
+    instances.update(corrected, clock.now())
+    assert instances.primary("svc1").instance.id == "i-2"
