Respect a claim of the promotion duty that a restored store has lost

What callers would see: acknowledged commits rolled back by a second promotion within a second of the first, if the store is restored in between.

Cause: the period in which only the last holder may promote was read from the duty's entry alone. A restored store lacks the claim, or has an older one of this VM.

Change: the period begins when another VM's claim is seen, and goes on whatever the store says afterwards.

Not proved: a VM that starts between the restoration and the end of that period has not seen the claim.

--- a/src/currantlead/sessions/succession.py
+++ b/src/currantlead/sessions/succession.py
@@ -9,7 +9,6 @@
 """
 
 import asyncio
-import dataclasses
 from collections.abc import Callable
 
 from currantlead import errors, logs
@@ -40,21 +39,6 @@
 _codec = lines.InstanceCodec()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _DutyEntry:
-    """The promotion duty of a service as stored.
-
-    Attributes:
-        holder: VM that holds the duty.
-        revision: Revision of the store's entry.
-        seen_at: Clock reading at which this VM first saw the entry.
-    """
-
-    holder: str
-    revision: int
-    seen_at: float
-
-
 class Failover:
     """Watches the primaries of all services and replaces one when it is this VM's turn.
 
@@ -86,13 +70,18 @@
         self._replacement_due_since: dict[str, tuple[str, float]] = {}
         self._next_attempt_at: dict[str, float] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
-        self._duties: dict[str, _DutyEntry] = {}
+        self._duty_revisions: dict[str, int] = {}
+        self._claimed_by_others_at: dict[str, float] = {}
 
     def record_duty(self, service: str, holder: str, revision: int) -> None:
-        """Record a duty's entry; a new revision starts the period in which only its holder may promote."""
-        current = self._duties.get(service)
-        if current is None or revision > current.revision:
-            self._duties[service] = _DutyEntry(holder, revision, clock.now())
+        """Record a duty's entry; a claim of another VM starts the period in which only that VM may promote.
+
+        The period goes on if the store is restored and no longer has the claim.
+        """
+        if revision > self._duty_revisions.get(service, 0):
+            self._duty_revisions[service] = revision
+            if holder != self._vm:
+                self._claimed_by_others_at[service] = clock.now()
 
     def check(self) -> None:
         """Start the promotions that are due; called periodically."""
@@ -277,13 +266,13 @@
             The entry's new revision, which is the generation number, or None if another VM holds the duty.
         """
         entry = await self._store.read(objects.DUTIES, service)
+        if entry is not None:
+            self.record_duty(service, objects.decode_duty(entry), entry.revision)
+        if clock.now() - self._claimed_by_others_at.get(service, float("-inf")) < election.CLAIM_EXCLUSIVITY_S:
+            return None
         if entry is None:
             stored = await self._store.create(objects.DUTIES, service, objects.encode_duty(self._vm, 0))
         else:
-            self.record_duty(service, objects.decode_duty(entry), entry.revision)
-            duty = self._duties[service]
-            if duty.holder != self._vm and clock.now() - duty.seen_at < election.CLAIM_EXCLUSIVITY_S:
-                return None
             value = objects.encode_duty(self._vm, entry.revision)
             stored = await self._store.replace(objects.DUTIES, service, value, entry.revision)
         if stored is None:
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -5,7 +5,7 @@
 import pytest
 
 from currantlead.platform import objects
-from currantlead.sessions import clock, copies
+from currantlead.sessions import clock, copies, election
 from tests import session_bed
 
 
@@ -144,3 +144,20 @@
     bed.store.put("config", "main", session_bed.configuration(5))
     await wait_until(lambda: relayed.configuration.version == 5)
     assert not relayed.mirror._apply_response(response, clock.now())
+
+
+@pytest.mark.parametrize("remembered", ["nothing", "an older claim of this VM"])
+async def test_promotion_waits_for_a_claim_that_the_restored_store_lost(remembered):
+    """Two VMs promoted within a second because the restored store no longer had the claim of the first."""
+    async with session_bed.Bed() as bed:
+        if remembered != "nothing":
+            bed.store.put("duties", "svc1", {"holder": "vm-1", "previous": 0})
+        copied = bed.store.copy()
+        bed.store.put("duties", "svc1", {"holder": "vm-9", "previous": 0})
+        await asyncio.sleep(0.2)
+        bed.store.restore(copied)
+        bed.register_instance("i-1", state="draining")
+        await asyncio.sleep(election.CLAIM_EXCLUSIVITY_S - 1.0)
+        assert bed.store.promotions == []
+        assert all(instance.paused_term == 0 for instance in bed.service.instances.values())
+        await wait_until(lambda: bed.service.primary not in ("i-1", ""))
