Make no conditional change with a revision of an earlier era

What callers would see: a living VM leaves the members, if its entry has the number in the restored store that a dead VM's had before.

Cause: only the store's own number was sent, which a restored store gives out again.

Change: such a call is not sent; one that was on its way counts as not done.

Test: fails on the previous commit (the new entry is deleted) and passes now.

--- a/src/currantlead/sessions/store.py
+++ b/src/currantlead/sessions/store.py
@@ -123,19 +123,26 @@
         Raises:
             errors.PlatformUnavailableError: The store gave no usable response; the call may have taken effect.
         """
+        if revision is not None and objects.era_of(revision) < self._era:
+            return None
         response, era = await self._request(objects.replace_call(kind, name, value, revision))
         if response.status in (objects.CONFLICT, objects.NOT_FOUND):
             return None
-        if revision is not None and objects.era_of(revision) != era:
+        if revision is not None and objects.era_of(revision) < era:
+            # The store was restored while the call was on its way.
             return None
         return objects.decode_object(response.body, era)
 
     async def delete(self, kind: str, name: str, revision: int) -> bool:
         """Delete an object if its revision is ``revision``; return whether it was deleted.
 
+        As for ``replace``, a revision of an earlier era is never the object's.
+
         Raises:
             errors.PlatformUnavailableError: The store gave no usable response; the call may have taken effect.
         """
+        if objects.era_of(revision) < self._era:
+            return False
         response, _ = await self._request(objects.delete_call(kind, name, revision))
         return response.status not in (objects.CONFLICT, objects.NOT_FOUND)
 
--- a/tests/test_store_follow.py
+++ b/tests/test_store_follow.py
@@ -167,6 +167,23 @@
     await store_server.stop()
 
 
+async def test_conditional_calls_with_a_revision_of_an_earlier_era_do_nothing():
+    """A restored store may give the same number to another state, which must not be deleted or replaced unread."""
+    store_server = object_store.ObjectStore()
+    await store_server.start()
+    client = store.Store(settings.Address("127.0.0.1", store_server.port))
+    copied = store_server.copy()
+    created = await client.create("members", "vm-1", {"address": "old"})
+    store_server.restore(copied)
+    again = store_server.put("members", "vm-1", {"address": "new"})
+    assert await client.read("members", "vm-1") is not None
+    assert again["meta"]["revision"] == created.revision & 0xFFFFFFFF
+    assert not await client.delete("members", "vm-1", created.revision)
+    assert await client.replace("members", "vm-1", {"address": "old"}, created.revision) is None
+    assert (await client.read("members", "vm-1")).value == {"address": "new"}
+    await store_server.stop()
+
+
 async def test_read_on_a_dead_kept_connection_is_sent_again():
     """A promotion started 0.5 s late because the kept-alive connection of the previous call was dead."""
     store_server = object_store.ObjectStore()
