Let the soak lose watches and restore the store

Statements that run in an evacuated domain after the bound are counted. The sets of the other runs, and so their seeds, stay as they were.

--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,7 @@
 
 soak: setup
 	$(BIN)/python -m tools.users_demo --seed $(SEED) --seconds 30 --fleet
+	$(BIN)/python -m tools.users_demo --seed $(SEED) --seconds 30 --store
 
 bench: setup
 	$(BIN)/python -m tools.bench
--- a/tests/process/test_session_soak.py
+++ b/tests/process/test_session_soak.py
@@ -6,7 +6,16 @@
 
 import pytest
 
-VIOLATIONS = ("lost", "doubled", "stale_reads", "false_not_run", "torn", "over_rate", "after_revocation")
+VIOLATIONS = (
+    "lost",
+    "doubled",
+    "stale_reads",
+    "false_not_run",
+    "torn",
+    "over_rate",
+    "after_revocation",
+    "after_evacuation",
+)
 SEEDS = [
     (
         2,
@@ -23,6 +32,9 @@
 FLEET_SEED = 401
 """A power cut, a reload, lost answers, and a key revoked while a daemon cannot reach the store."""
 
+STORE_SEED = 2
+"""Evacuations that pending watches miss, and restarts; code that let copies grow old ran 155 statements late."""
+
 
 def _run_soak(seed, *options):
     """Run the soak test and return its result."""
@@ -50,3 +62,13 @@
     assert not {name: result[name] for name in VIOLATIONS if result[name]}, result
     assert {"power_cut", "reload", "withdraw_key_from_isolated"} <= set(result["faults"])
     assert result["completed"] > 0
+
+
+@pytest.mark.processes
+@pytest.mark.xdist_group("processes-3")
+def test_guarantees_hold_while_the_store_loses_history_and_writes():
+    """Guards against work in evacuated domains and for revoked keys while the store drops its history unannounced."""
+    result = _run_soak(STORE_SEED, "--seconds", "16", "--store")
+    assert not {name: result[name] for name in VIOLATIONS if result[name]}, result
+    assert "lose_watches" in result["faults"]
+    assert result["completed"] > 0
--- a/tests/standins/line_instance.py
+++ b/tests/standins/line_instance.py
@@ -23,7 +23,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class ExecutedStatement:
-    """Statement that an instance ran for a caller, with its session values and the number of applied commits."""
+    """Statement that an instance ran for a caller, with its session values, applied commits and monotonic time."""
 
     instance: str
     request: str
@@ -31,6 +31,7 @@
     organisation: str
     values: tuple[tuple[str, str], ...]
     applied: int
+    ran_at: float
 
 
 class Service:
@@ -372,7 +373,9 @@
         """Record that a caller's statement ran on this instance."""
         applied = self.service.applied(self.instance)
         values = tuple(sorted(self.values.items()))
-        self.service.runs.append(ExecutedStatement(self.instance.id, request, text, self.organisation, values, applied))
+        self.service.runs.append(
+            ExecutedStatement(self.instance.id, request, text, self.organisation, values, applied, time.monotonic())
+        )
 
     def signature(self, request: str) -> str:
         """Return the signature that proves that this instance ran a request."""
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -15,22 +15,27 @@
 
 SINGLE_FAULTS: dict[str, FaultFunction] = {}
 """Faults of one daemon, connection, instance, or of the store, by name."""
+FLEET_FAULTS: dict[str, FaultFunction] = {}
+"""``SINGLE_FAULTS`` and those of the whole fleet."""
+STORE_FAULTS: dict[str, FaultFunction] = {}
+"""Faults of the store's state beside planned changes. None of them keeps a daemon from the store for long, so that each
+change must be in force within its bound."""
 FAULTS: dict[str, FaultFunction] = {}
-"""All faults by name, those of the whole fleet included."""
+"""All faults by name."""
 
 
-def register(name: str, *, fleet: bool = False) -> Callable[[FaultFunction], FaultFunction]:
+def register(name: str, *registries: dict[str, FaultFunction]) -> Callable[[FaultFunction], FaultFunction]:
     """Return a decorator that registers a fault.
 
     Args:
         name: Name in the output.
-        fleet: Whether it strikes the whole fleet; such faults are drawn on request only.
+        registries: The sets that a run may draw it from; those of one daemon, connection or instance by default.
     """
 
     def add(function: FaultFunction) -> FaultFunction:
+        for registry in registries or (SINGLE_FAULTS, FLEET_FAULTS):
+            registry[name] = function
         FAULTS[name] = function
-        if not fleet:
-            SINGLE_FAULTS[name] = function
         return function
 
     return add
@@ -72,13 +77,13 @@
     soak.random.choice(list(soak.proxies.values())).reset()
 
 
-@register("kill")
+@register("kill", SINGLE_FAULTS, FLEET_FAULTS, STORE_FAULTS)
 async def kill(soak: "users_demo.Soak") -> None:
     """Kill a daemon."""
     soak.random.choice(soak.vms).signal(signal.SIGKILL)
 
 
-@register("stop")
+@register("stop", SINGLE_FAULTS, FLEET_FAULTS, STORE_FAULTS)
 async def stop(soak: "users_demo.Soak") -> None:
     """Shut a daemon down gracefully."""
     soak.random.choice(soak.vms).signal(signal.SIGTERM)
@@ -102,13 +107,13 @@
     instance.unresponsive = False
 
 
-@register("lag")
+@register("lag", SINGLE_FAULTS, FLEET_FAULTS, STORE_FAULTS)
 async def lag(soak: "users_demo.Soak") -> None:
     """Set random replication lags."""
     soak.service.lag_s = {name: soak.random.uniform(0.1, 3.0) for name in soak.service.instances}
 
 
-@register("lose_answers")
+@register("lose_answers", SINGLE_FAULTS, FLEET_FAULTS, STORE_FAULTS)
 async def lose_answers(soak: "users_demo.Soak") -> None:
     """Drop the next responses of an instance."""
     soak.random.choice(list(soak.service.instances.values())).lose_answers = soak.random.randrange(1, 4)
@@ -123,7 +128,7 @@
     soak.store.fault = lambda method, path: None
 
 
-@register("withdraw_key")
+@register("withdraw_key", SINGLE_FAULTS, FLEET_FAULTS, STORE_FAULTS)
 async def withdraw_key(soak: "users_demo.Soak") -> None:
     """Revoke the API key of the second organisation and restore it later."""
     if soak.revocations and soak.revocations[-1][1] == float("inf"):
@@ -141,7 +146,46 @@
     soak.store.drop_history()
 
 
-@register("drain_primary")
+@register("lose_watches", STORE_FAULTS)
+async def lose_watches(soak: "users_demo.Soak") -> None:
+    """Evacuate a failure domain while the store drops its history and leaves the pending watches unanswered."""
+    await _evacuate(soak, missed=True)
+
+
+@register("evacuate", STORE_FAULTS)
+async def evacuate(soak: "users_demo.Soak") -> None:
+    """Evacuate a failure domain for a while."""
+    await _evacuate(soak, missed=False)
+
+
+async def _evacuate(soak: "users_demo.Soak", *, missed: bool) -> None:
+    if soak.evacuations and soak.evacuations[-1][2] == float("inf"):
+        return
+    domain = f"z{soak.random.randrange(1, 4)}"
+    soak.store.put("evacuations", domain, {})
+    soak.evacuations.append((domain, time.monotonic(), float("inf")))
+    if missed:
+        soak.store.drop_history(announced=False)
+    await asyncio.sleep(soak.random.uniform(7.0, 10.0))
+    soak.evacuations[-1] = (*soak.evacuations[-1][:2], time.monotonic())
+    if domain in soak.store.objects["evacuations"]:
+        soak.store.delete("evacuations", domain)
+
+
+@register("restore_store", STORE_FAULTS)
+async def restore_store(soak: "users_demo.Soak") -> None:
+    """Restore the store from a copy after a short outage; the operator and the instances write their state again."""
+    copied = soak.store.copy()
+    await asyncio.sleep(soak.random.uniform(0.2, 4.0))
+    soak.store.fault = lambda method, path: "reset"
+    soak.store.reset_connections()
+    await asyncio.sleep(soak.random.uniform(0.1, 1.5))
+    soak.store.restore(copied)
+    soak.write_state_again()
+    soak.store.fault = lambda method, path: None
+
+
+@register("drain_primary", SINGLE_FAULTS, FLEET_FAULTS, STORE_FAULTS)
 async def drain_primary(soak: "users_demo.Soak") -> None:
     """Mark the primary as draining for 2 s."""
     name = soak.service.primary
@@ -151,14 +195,14 @@
     soak.register(name)
 
 
-@register("power_cut", fleet=True)
+@register("power_cut", FLEET_FAULTS)
 async def power_cut(soak: "users_demo.Soak") -> None:
     """Kill all daemons at once."""
     for vm in soak.vms:
         vm.signal(signal.SIGKILL)
 
 
-@register("rolling_stop", fleet=True)
+@register("rolling_stop", FLEET_FAULTS)
 async def rolling_stop(soak: "users_demo.Soak") -> None:
     """Shut all daemons down in turn."""
     for vm in soak.vms:
@@ -166,7 +210,7 @@
         await asyncio.sleep(soak.random.uniform(0.3, 1.0))
 
 
-@register("reload", fleet=True)
+@register("reload", FLEET_FAULTS)
 async def reload(soak: "users_demo.Soak") -> None:
     """Change a daemon's settings file, at times to an invalid one, with or without SIGHUP."""
     vm = soak.random.choice(soak.vms)
@@ -178,14 +222,14 @@
     vm.change_settings(changed, valid)
 
 
-@register("swallow_answers", fleet=True)
+@register("swallow_answers", FLEET_FAULTS)
 async def swallow_answers(soak: "users_demo.Soak") -> None:
     """Make an instance run the next statements without answering them."""
     instance = soak.random.choice(list(soak.service.instances.values()))
     instance.swallow_answers = soak.random.randrange(1, 4)
 
 
-@register("withdraw_key_from_isolated", fleet=True)
+@register("withdraw_key_from_isolated", FLEET_FAULTS)
 async def withdraw_key_from_isolated(soak: "users_demo.Soak") -> None:
     """Revoke the key of the second organisation while a daemon cannot reach the store."""
     proxy = soak.proxies[f"store of {soak.random.choice(soak.vms).name}"]
--- a/tools/users_demo.py
+++ b/tools/users_demo.py
@@ -7,7 +7,9 @@
 instances accept fewer connections than there are daemons, so that holders run the statements of other daemons. A
 second organisation sends more than its rate limit, and its API key is revoked and restored. With ``--fleet``, all
 daemons are also killed at once or shut down in turn, settings are reloaded, and the key is revoked while a daemon
-cannot reach the store.
+cannot reach the store. With ``--store``, the faults are those of the store's state beside planned changes: it is
+restored from copies and drops its history unannounced, while failure domains are evacuated, the primary drains, the
+key is revoked, and daemons restart.
 """
 
 import argparse
@@ -23,6 +25,7 @@
 import tempfile
 import time
 import urllib.request
+from collections.abc import Iterable
 from typing import Any
 
 import rich.console
@@ -51,6 +54,8 @@
 a fixed number of operations."""
 MAX_REVOCATION_DELAY_S = 5.0
 """Longest time for a revocation to take effect; a request sent later must not run."""
+EVACUATION_BOUND_S = 5.0
+"""Time after which no statement may run in an evacuated failure domain."""
 NOT_RUN_CODES = {"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "OVERLOAD"}
 """Error codes which guarantee that the operation has no effect."""
 _console = rich.console.Console(stderr=True)
@@ -93,6 +98,8 @@
         torn: Transactions of which only one of two writes was committed.
         over_rate: Time windows with more operations of the second organisation than its limit allows.
         after_revocation: Operations that ran although their API key had been revoked.
+        after_evacuation: Statements that ran in an evacuated failure domain after the bound; counted only in runs whose
+            faults keep no daemon from the store.
         faults: Injected faults and details of stale reads.
     """
 
@@ -108,12 +115,13 @@
     torn: int = 0
     over_rate: int = 0
     after_revocation: int = 0
+    after_evacuation: int = 0
     faults: list[str] = dataclasses.field(default_factory=list)
 
     def is_consistent(self) -> bool:
         """Return whether no guarantee was violated."""
         violations = (self.lost, self.doubled, self.stale_reads, self.false_not_run, self.torn)
-        return not any((*violations, self.over_rate, self.after_revocation))
+        return not any((*violations, self.over_rate, self.after_revocation, self.after_evacuation))
 
 
 class DaemonProcess:
@@ -195,18 +203,17 @@
 class Soak:
     """One run of the soak test."""
 
-    def __init__(self, seed: int, seconds: float, directory: pathlib.Path, *, fleet_faults: bool = False):
+    def __init__(self, seed: int, seconds: float, directory: pathlib.Path, fault_names: Iterable[str]):
         """Create a run.
 
         Args:
             seed: Seed of the faults and the load.
             seconds: Duration of the load.
             directory: Directory for settings and logs.
-            fleet_faults: Whether faults of the whole fleet come besides the others; the seeds of regression cases
-                were recorded without them.
+            fault_names: Names of the faults to draw from; a seed stands for the same run only with the same names.
         """
         self.result = Result(seed)
-        self._fault_names = sorted(soak_faults.FAULTS if fleet_faults else soak_faults.SINGLE_FAULTS)
+        self._fault_names = sorted(fault_names)
         self.random = random.Random(seed)
         self._seconds = seconds
         self._directory = directory
@@ -222,7 +229,9 @@
         self.vms: list[DaemonProcess] = []
         self._end = 0.0
         self._version = 1
+        self._configuration: dict[str, Any] = {}
         self.revocations: list[tuple[float, float]] = []
+        self.evacuations: list[tuple[str, float, float]] = []
         self._limited_writes: list[tuple[float, str]] = []
 
     async def run(self) -> Result:
@@ -274,8 +283,21 @@
         services = [{"name": session_bed.SERVICE, "maxConns": self._service_limit, "syncReplicas": 1}]
         state = session_bed.configuration(self._version, services=services, tenants=[organisation, limited])
         self.store.put("config", "main", state)
+        self._configuration = state
         self._version += 1
 
+    def write_state_again(self) -> None:
+        """Write what the operator and the instances have written last, as they do after the store was restored."""
+        self.store.put("config", "main", self._configuration)
+        for name in self.service.instances:
+            self.register(name)
+        written = self.store.objects.setdefault("evacuations", {})
+        current = {domain for domain, _, ended_at in self.evacuations if ended_at == float("inf")}
+        for domain in set(written) - current:
+            self.store.delete("evacuations", domain)
+        for domain in current:
+            self.store.put("evacuations", domain, {})
+
     async def _add_proxy(self, name: str, target_port: int) -> int:
         """Start a proxy in front of a port and return the port of the proxy."""
         proxy = self.proxies[name] = loopback_proxy.LoopbackProxy(target_port)
@@ -444,6 +466,11 @@
             for sent_at, _ in self._limited_writes
             for revoked_at, restored_at in self.revocations
         )
+        self.result.after_evacuation = sum(
+            f"z{run.instance[-1]}" == domain and evacuated_at + EVACUATION_BOUND_S < run.ran_at < ended_at
+            for run in self.service.runs
+            for domain, evacuated_at, ended_at in self.evacuations
+        )
         # A write with an unknown outcome may be committed after a later write of its session; the log order decides.
         order = {
             (item, data): index for index, commit in enumerate(self.service.log) for _, item, data in commit.writes
@@ -465,11 +492,17 @@
     parser.add_argument("--seconds", type=float, default=20.0, help="duration of the load in seconds")
     parser.add_argument("--keep", type=pathlib.Path, help="directory for settings and logs that is kept after the run")
     parser.add_argument("--fleet", action="store_true", help="also inject faults of the whole fleet")
+    parser.add_argument(
+        "--store", action="store_true", help="inject faults of the store's state beside planned changes"
+    )
     options = parser.parse_args()
+    faults = soak_faults.FLEET_FAULTS if options.fleet else soak_faults.SINGLE_FAULTS
+    if options.store:
+        faults = soak_faults.STORE_FAULTS
     with tempfile.TemporaryDirectory() as temporary:
         directory = options.keep or pathlib.Path(temporary)
         directory.mkdir(parents=True, exist_ok=True)
-        result = asyncio.run(Soak(options.seed, options.seconds, directory, fleet_faults=options.fleet).run())
+        result = asyncio.run(Soak(options.seed, options.seconds, directory, faults).run())
     print(json.dumps(dataclasses.asdict(result)))
     return 0 if result.is_consistent() else 1
 
