Divide the checks of the soak from its run

What callers and operator have seen is a record now, and one function compares it with the instances.

--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -131,12 +131,12 @@
 @register("withdraw_key", SINGLE_FAULTS, FLEET_FAULTS, STORE_FAULTS)
 async def withdraw_key(soak: "users_demo.Soak") -> None:
     """Revoke the API key of the second organisation and restore it later."""
-    if soak.revocations and soak.revocations[-1][1] == float("inf"):
+    if soak.record.revocations and soak.record.revocations[-1][1] == float("inf"):
         return
     soak.configure(with_limited_key=False)
-    soak.revocations.append((time.monotonic(), float("inf")))
+    soak.record.revocations.append((time.monotonic(), float("inf")))
     await asyncio.sleep(soak.random.uniform(6.0, 9.0))
-    soak.revocations[-1] = soak.revocations[-1][0], time.monotonic()
+    soak.record.revocations[-1] = soak.record.revocations[-1][0], time.monotonic()
     soak.configure(with_limited_key=True)
 
 
@@ -159,15 +159,15 @@
 
 
 async def _evacuate(soak: "users_demo.Soak", *, missed: bool) -> None:
-    if soak.evacuations and soak.evacuations[-1][2] == float("inf"):
+    if soak.record.evacuations and soak.record.evacuations[-1][2] == float("inf"):
         return
     domain = f"z{soak.random.randrange(1, 4)}"
     soak.store.put("evacuations", domain, {})
-    soak.evacuations.append((domain, time.monotonic(), float("inf")))
+    soak.record.evacuations.append((domain, time.monotonic(), float("inf")))
     if missed:
         soak.store.drop_history(announced=False)
     await asyncio.sleep(soak.random.uniform(7.0, 10.0))
-    soak.evacuations[-1] = (*soak.evacuations[-1][:2], time.monotonic())
+    soak.record.evacuations[-1] = (*soak.record.evacuations[-1][:2], time.monotonic())
     if domain in soak.store.objects["evacuations"]:
         soak.store.delete("evacuations", domain)
 
--- a/tools/users_demo.py
+++ b/tools/users_demo.py
@@ -14,7 +14,6 @@
 
 import argparse
 import asyncio
-import collections
 import dataclasses
 import json
 import os
@@ -33,7 +32,7 @@
 from currantlead.platform import settings_file
 from tests import session_bed
 from tests.standins import line_instance, loopback_proxy, object_store
-from tools import soak_faults
+from tools import soak_checks, soak_faults
 
 VMS = 4
 SESSIONS = 24
@@ -46,16 +45,6 @@
 LIMITED_ORGANISATION = "dyers"
 LIMITED_KEY = "key-of-dyers"
 LIMITED_SESSIONS = 4
-LIMITED_RATE = 20.0
-"""Rate limit in operations per second, and burst, of the second organisation; its sessions send about four times as
-many."""
-RATE_WINDOW_S, RATE_EXCESS, RATE_SLACK = 5.0, 0.1, 20.0
-"""Window in which operations are counted, and the excess over rate and burst that it may contain: a share of them plus
-a fixed number of operations."""
-MAX_REVOCATION_DELAY_S = 5.0
-"""Longest time for a revocation to take effect; a request sent later must not run."""
-EVACUATION_BOUND_S = 5.0
-"""Time after which no statement may run in an evacuated failure domain."""
 NOT_RUN_CODES = {"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "OVERLOAD"}
 """Error codes which guarantee that the operation has no effect."""
 _console = rich.console.Console(stderr=True)
@@ -81,49 +70,6 @@
 """
 
 
-@dataclasses.dataclass(slots=True)
-class Result:
-    """Summary of a run, printed as the last line.
-
-    Attributes:
-        seed: Seed of the run.
-        sent: Operations sent.
-        completed: Operations reported as completed.
-        not_run: Operations refused without effect.
-        may_have_run: Operations with an unknown outcome.
-        lost: Acknowledged writes that are missing from the log.
-        doubled: Writes that were committed more than once.
-        stale_reads: Reads that returned an older value than the last acknowledged write of their session.
-        false_not_run: Writes reported as not run that were committed.
-        torn: Transactions of which only one of two writes was committed.
-        over_rate: Time windows with more operations of the second organisation than its limit allows.
-        after_revocation: Operations that ran although their API key had been revoked.
-        after_evacuation: Statements that ran in an evacuated failure domain after the bound; counted only in runs whose
-            faults keep no daemon from the store.
-        faults: Injected faults and details of stale reads.
-    """
-
-    seed: int
-    sent: int = 0
-    completed: int = 0
-    not_run: int = 0
-    may_have_run: int = 0
-    lost: int = 0
-    doubled: int = 0
-    stale_reads: int = 0
-    false_not_run: int = 0
-    torn: int = 0
-    over_rate: int = 0
-    after_revocation: int = 0
-    after_evacuation: int = 0
-    faults: list[str] = dataclasses.field(default_factory=list)
-
-    def is_consistent(self) -> bool:
-        """Return whether no guarantee was violated."""
-        violations = (self.lost, self.doubled, self.stale_reads, self.false_not_run, self.torn)
-        return not any((*violations, self.over_rate, self.after_revocation, self.after_evacuation))
-
-
 class DaemonProcess:
     """A daemon in a separate process that is restarted whenever it exits."""
 
@@ -212,15 +158,12 @@
             directory: Directory for settings and logs.
             fault_names: Names of the faults to draw from; a seed stands for the same run only with the same names.
         """
-        self.result = Result(seed)
+        self.result = soak_checks.Result(seed)
         self._fault_names = sorted(fault_names)
         self.random = random.Random(seed)
         self._seconds = seconds
         self._directory = directory
-        self._acknowledged: list[tuple[str, str, str]] = []
-        self._not_run: set[str] = set()
-        self._transactions: list[tuple[str, str]] = []
-        self._unexpected_reads: list[tuple[str, str, str, str]] = []
+        self.record = soak_checks.Record()
         self.store = object_store.ObjectStore()
         self._service_limit = FEW_CONNECTIONS if seed % 2 else 16
         instance_limit = FEW_CONNECTIONS if seed % 2 else 24
@@ -230,11 +173,8 @@
         self._end = 0.0
         self._version = 1
         self._configuration: dict[str, Any] = {}
-        self.revocations: list[tuple[float, float]] = []
-        self.evacuations: list[tuple[str, float, float]] = []
-        self._limited_writes: list[tuple[float, str]] = []
 
-    async def run(self) -> Result:
+    async def run(self) -> soak_checks.Result:
         """Start all components, run the load with faults, and check the results."""
         await self.store.start()
         await self.service.start()
@@ -268,7 +208,7 @@
                 proxy.stop()
             await self.service.stop()
             await self.store.stop()
-        self._check()
+        soak_checks.check(self.record, self.service, self.result)
         return self.result
 
     def configure(self, *, with_limited_key: bool) -> None:
@@ -277,8 +217,8 @@
         limited = {
             "name": LIMITED_ORGANISATION,
             "apiKeys": [LIMITED_KEY] if with_limited_key else [],
-            "ratePerS": LIMITED_RATE,
-            "burst": LIMITED_RATE,
+            "ratePerS": soak_checks.LIMITED_RATE,
+            "burst": soak_checks.LIMITED_RATE,
         }
         services = [{"name": session_bed.SERVICE, "maxConns": self._service_limit, "syncReplicas": 1}]
         state = session_bed.configuration(self._version, services=services, tenants=[organisation, limited])
@@ -292,7 +232,7 @@
         for name in self.service.instances:
             self.register(name)
         written = self.store.objects.setdefault("evacuations", {})
-        current = {domain for domain, _, ended_at in self.evacuations if ended_at == float("inf")}
+        current = {domain for domain, _, ended_at in self.record.evacuations if ended_at == float("inf")}
         for domain in set(written) - current:
             self.store.delete("evacuations", domain)
         for domain in current:
@@ -370,7 +310,7 @@
                 async with asyncio.timeout(4.0):
                     answer = await caller.request(f"QUERY {request} WRITE limited{number} v{sequence}")
                 if answer[0].startswith("DONE"):
-                    self._limited_writes.append((sent_at, request))
+                    self.record.limited_writes.append((sent_at, request))
                 elif answer[0].startswith("ERR NOAUTH"):
                     caller.close()
                     caller = None
@@ -393,11 +333,11 @@
         status, _, details = answer[0].partition(" ")
         if status == "DONE":
             self.result.completed += 1
-            self._acknowledged.append((request, item, data))
+            self.record.acknowledged.append((request, item, data))
             return data
         if details.split(" ")[0] in NOT_RUN_CODES:
             self.result.not_run += 1
-            self._not_run.add(request)
+            self.record.not_run.add(request)
             return written
         self.result.may_have_run += 1
         # The outcome is unknown, so later reads may return the old or the new value.
@@ -407,7 +347,7 @@
         self, caller: session_bed.Caller, request: str, item: str, data: str, written: str | None
     ) -> str | None:
         """Write two items in one transaction; either both or none must be committed."""
-        self._transactions.append((f"{request}a", f"{request}b"))
+        self.record.transactions.append((f"{request}a", f"{request}b"))
         answers = []
         for text in ("BEGIN", f"{request}a WRITE {item} {data}", f"{request}b WRITE {item}-pair {data}", "COMMIT"):
             request_id, _, statement = (
@@ -418,13 +358,13 @@
                 break
         if len(answers) == 4 and answers[-1].startswith("DONE"):
             self.result.completed += 1
-            self._acknowledged += [(f"{request}a", item, data), (f"{request}b", f"{item}-pair", data)]
+            self.record.acknowledged += [(f"{request}a", item, data), (f"{request}b", f"{item}-pair", data)]
             return data
         if len(answers) < 4:
             await caller.request(f"QUERY {request}ROLLBACK ROLLBACK")
         if answers[-1].split(" ")[1] in NOT_RUN_CODES:
             self.result.not_run += 1
-            self._not_run |= {f"{request}a", f"{request}b"}
+            self.record.not_run |= {f"{request}a", f"{request}b"}
             return written
         self.result.may_have_run += 1
         return None
@@ -434,7 +374,7 @@
         if answer[0].startswith("ROW "):
             self.result.completed += 1
             if written is not None and answer[0] != f"ROW {written}":
-                self._unexpected_reads.append((request, item, answer[0].removeprefix("ROW "), written))
+                self.record.unexpected_reads.append((request, item, answer[0].removeprefix("ROW "), written))
         else:
             self.result.not_run += 1
 
@@ -449,41 +389,6 @@
             running.add(asyncio.create_task(soak_faults.FAULTS[name](self)))
         await asyncio.gather(*running)
 
-    def _check(self) -> None:
-        """Check the reported results against the commit log."""
-        committed = collections.Counter(request for commit in self.service.log for request, _, _ in commit.writes)
-        limited = [
-            commit.committed_at
-            for commit in self.service.log
-            if any(name.startswith("limited") for name, _, _ in commit.writes)
-        ]
-        max_operations = (LIMITED_RATE * RATE_WINDOW_S + LIMITED_RATE) * (1 + RATE_EXCESS) + RATE_SLACK
-        self.result.over_rate = sum(
-            sum(start <= at < start + RATE_WINDOW_S for at in limited) > max_operations for start in limited
-        )
-        self.result.after_revocation = sum(
-            revoked_at + MAX_REVOCATION_DELAY_S < sent_at < restored_at
-            for sent_at, _ in self._limited_writes
-            for revoked_at, restored_at in self.revocations
-        )
-        self.result.after_evacuation = sum(
-            f"z{run.instance[-1]}" == domain and evacuated_at + EVACUATION_BOUND_S < run.ran_at < ended_at
-            for run in self.service.runs
-            for domain, evacuated_at, ended_at in self.evacuations
-        )
-        # A write with an unknown outcome may be committed after a later write of its session; the log order decides.
-        order = {
-            (item, data): index for index, commit in enumerate(self.service.log) for _, item, data in commit.writes
-        }
-        for request, item, found, written in self._unexpected_reads:
-            if order.get((item, found), -1) < order.get((item, written), -1):
-                self.result.stale_reads += 1
-                self.result.faults.append(f"stale read {request}: got {found}, expected {written} or newer")
-        self.result.torn = sum((first in committed) != (second in committed) for first, second in self._transactions)
-        self.result.doubled = sum(count > 1 for count in committed.values())
-        self.result.lost = sum(request not in committed for request, _, _ in self._acknowledged)
-        self.result.false_not_run = sum(request in committed for request in self._not_run)
-
 
 def main() -> int:
     """Run one seed, print the summary as one JSON line, and return 1 if a guarantee was violated."""
