List again after a fault in a component that gets a copy

What callers would see: a VM without the members or with an evacuation that has ended, because one unexpected error kept a change from one of its components; or a VM that no longer chooses the source of its copies after a restoration.

The revision of a list was set before the list was applied, so after a fault the next watch began behind it; and the removal of objects that a restored store has lost ran outside the guard of its task.

Change: a list that could not be applied leaves no revision; any fault in the task of the copies is followed by lists of all kinds.

--- a/src/currantlead/sessions/mirror.py
+++ b/src/currantlead/sessions/mirror.py
@@ -131,18 +131,28 @@
                 self._relay_changed.clear()
                 try:
                     relay = await self._poll_relays()
-                except Exception as error:
-                    # Without this task the VM would neither use a relay nor watch the store.
-                    _log.opt(exception=error).error("applying a relay's copies failed, watching the store")
-                    self._select_source("")
-                else:
                     if relay or self._should_watch_store(started_at):
                         self._select_source(relay)
-                self._remove_expired()
+                    self._remove_expired()
+                except Exception as error:
+                    # Without this task the VM would neither use a relay nor watch the store.
+                    _log.opt(exception=error).error("applying a change failed, listing all objects again")
+                    self._list_again()
                 await self._wait_for_next_poll()
         finally:
             self._stop_following()
 
+    def _list_again(self) -> None:
+        """Watch the store, beginning with lists, because a component may have missed a change."""
+        self._stop_following()
+        self._forget_revisions()
+        self._select_source("")
+
+    def _forget_revisions(self) -> None:
+        """Make the next watches of the store begin with a list."""
+        for copy in self._copies.values():
+            copy.follower.revision = None
+
     def _remove_expired(self) -> None:
         """Remove the objects that a restored store lacks and that nobody has written again."""
         for copy in self._copies.values():
@@ -202,8 +212,7 @@
         """Watch the store directly if ``relay`` is empty, and stop watching it otherwise."""
         if self._relay and not relay:
             # Without a list, the watches would confirm the copies only at their ends.
-            for copy in self._copies.values():
-                copy.follower.revision = None
+            self._forget_revisions()
         if relay != self._relay or (not relay and not self._follow_tasks):
             _log.bind(relay=relay or None).info("reading the store through a relay" if relay else "watching the store")
             self._relay = relay
--- a/src/currantlead/sessions/store.py
+++ b/src/currantlead/sessions/store.py
@@ -263,7 +263,12 @@
             if not after:
                 break
         follower.revision = revision
-        follower.on_listed(tuple(listed))
+        try:
+            follower.on_listed(tuple(listed))
+        except Exception:
+            # A watch from this revision would miss what the list has.
+            follower.revision = None
+            raise
         return requested_at
 
     async def _watch(self, client: http.HttpClient, follower: Follower, wait_s: float) -> float:
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -362,3 +362,23 @@
     monkeypatch.setattr(members.Members, "replace", fail_once)
     async with asyncio.timeout(5.0), session_bed.Bed() as bed:
         assert faults == [] and bed.daemon.is_ready()
+        # The list that could not be applied is read again; a watch from its revision would miss what was in it.
+        await wait_until(lambda: "vm-1" in bed.store.objects.get("members", {}))
+
+
+async def test_fault_while_applying_the_first_copies_of_a_relay_does_not_end_the_start(three_vms, monkeypatch):
+    """After an unexpected error the VM lists all kinds: a watch from the relay's revision would miss what it has."""
+    bed, _, relayed, _ = three_vms
+    await bed.stop_daemon(relayed)
+    replace = fleet.Fleet.replace
+    faults = [RuntimeError("fault of a component")]
+
+    def fail_once(self, instances, since):
+        if faults:
+            raise faults.pop()
+        replace(self, instances, since)
+
+    monkeypatch.setattr(fleet.Fleet, "replace", fail_once)
+    async with asyncio.timeout(5.0):
+        restarted = await bed.add_daemon(relayed.settings.vm, "z1")
+    assert faults == [] and restarted.fleet.ids() == {"i-1", "i-2", "i-3"}
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -5,7 +5,7 @@
 import pytest
 
 from currantlead.platform import objects
-from currantlead.sessions import clock, copies, election
+from currantlead.sessions import clock, copies, election, fleet
 from tests import session_bed
 
 
@@ -134,6 +134,30 @@
     )
 
 
+async def test_fault_while_a_lost_object_is_removed_does_not_end_the_polls(restored, monkeypatch):
+    """An unexpected error in a component must not end the task that chooses the source of the copies."""
+    bed, vms, copied = restored
+    bed.store.put("evacuations", "z2", {})
+    await wait_until(lambda: all(not vm.fleet.accepts_reads(vm.fleet.get("i-2")) for vm in vms))
+    set_evacuated_domains = fleet.Fleet.set_evacuated_domains
+    faults = [RuntimeError("fault of a component") for _ in vms]
+
+    def fail_once(self, domains, since):
+        if faults and not domains:
+            raise faults.pop()
+        set_evacuated_domains(self, domains, since)
+
+    bed.store.restore(copied)
+    await asyncio.sleep(1.0)
+    monkeypatch.setattr(fleet.Fleet, "set_evacuated_domains", fail_once)
+    await asyncio.sleep(copies.RESTORATION_GRACE_S)
+    assert faults == []
+    await wait_until(lambda: sum(vm.mirror.uses_relay for vm in vms) == 1)
+    bed.store.put("config", "main", session_bed.configuration(6))
+    await wait_until(lambda: all(vm.configuration.version == 6 for vm in vms))
+    assert all(vm.fleet.accepts_reads(vm.fleet.get("i-2")) for vm in vms)
+
+
 async def test_relay_that_has_not_seen_the_restoration_is_not_used(restored, monkeypatch):
     """Copies of a relay that is cut off from the store must not replace those of the restored store."""
     bed, vms, copied = restored
