--- a/tests/session_bed.py
+++ b/tests/session_bed.py
@@ -4,6 +4,7 @@
 import itertools
 import os
 import socket
+from collections.abc import Callable
 
 from currantlead.sessions import daemon, settings
 from tests.standins import line_instance, object_store
@@ -32,6 +33,13 @@
         return port
 
 
+async def wait_until(condition: Callable[[], object], timeout_s: float = 3.0) -> None:
+    """Wait until a condition holds, and fail after ``timeout_s`` seconds."""
+    async with asyncio.timeout(timeout_s):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+
+
 def configuration(version: int = 1, **changes) -> dict:
     """Return a configuration as operators write it to the store."""
     routes = [
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -17,13 +17,6 @@
 """Maximum age of a relay's configuration."""
 
 
-async def wait_until(condition, timeout_s=3.0):
-    """Wait until a condition is true."""
-    async with asyncio.timeout(timeout_s):
-        while not condition():  # noqa: ASYNC110
-            await asyncio.sleep(0.01)
-
-
 @pytest.fixture
 async def three_vms():
     """Provide a relay, a VM of its failure domain that polls it, and a VM of another domain."""
@@ -31,7 +24,7 @@
         near = await bed.add_daemon("vm-2", "z1")
         far = await bed.add_daemon("vm-3", "z2")
         pair = [bed.daemon, near]
-        await wait_until(lambda: sum(vm.mirror.uses_relay for vm in pair) == 1)
+        await session_bed.wait_until(lambda: sum(vm.mirror.uses_relay for vm in pair) == 1)
         relay, relayed = sorted(pair, key=lambda vm: vm.mirror.uses_relay)
         yield bed, relay, relayed, far
 
@@ -52,7 +45,9 @@
     bed, _, relayed, _ = three_vms
     for version in range(2, 6):
         bed.store.put("config", "main", session_bed.configuration(version))
-        await wait_until(lambda version=version: relayed.configuration.version == version, mirror.POLL_INTERVAL_S * 0.8)
+        await session_bed.wait_until(
+            lambda version=version: relayed.configuration.version == version, mirror.POLL_INTERVAL_S * 0.8
+        )
 
 
 async def test_relayed_vm_sees_updates_and_deletions(three_vms):
@@ -60,12 +55,12 @@
     bed, _, relayed, _ = three_vms
     bed.register_instance("i-3", state="draining")
     bed.store.put("evacuations", "z2", {})
-    await wait_until(lambda: relayed.fleet.get("i-3").instance.draining)
-    await wait_until(lambda: not relayed.fleet.accepts_reads(relayed.fleet.get("i-2")))
+    await session_bed.wait_until(lambda: relayed.fleet.get("i-3").instance.draining)
+    await session_bed.wait_until(lambda: not relayed.fleet.accepts_reads(relayed.fleet.get("i-2")))
     bed.store.delete("evacuations", "z2")
     bed.store.delete("servers", "i-3")
-    await wait_until(lambda: relayed.fleet.accepts_reads(relayed.fleet.get("i-2")))
-    await wait_until(lambda: relayed.fleet.get("i-3") is None)
+    await session_bed.wait_until(lambda: relayed.fleet.accepts_reads(relayed.fleet.get("i-2")))
+    await session_bed.wait_until(lambda: relayed.fleet.get("i-3") is None)
 
 
 @pytest.mark.parametrize(
@@ -93,7 +88,7 @@
             return vm.members.get("vm-9") is not None
         return not vm.fleet.accepts_reads(vm.fleet.get("i-2"))
 
-    await wait_until(lambda: all(map(is_known, vms)), bound(bed.daemon.settings.bounds))
+    await session_bed.wait_until(lambda: all(map(is_known, vms)), bound(bed.daemon.settings.bounds))
 
 
 @pytest.mark.parametrize(
@@ -131,7 +126,7 @@
     await asyncio.sleep(relay.mirror._copies[objects.EVACUATIONS].follower.wait_s)
     bed.store.put("evacuations", "z2", {})
     bounds = bed.daemon.settings.bounds
-    await wait_until(
+    await session_bed.wait_until(
         lambda: not relayed.fleet.accepts_reads(relayed.fleet.get("i-2")),
         bounds.evacuation_s - fleet.EVACUATION_MARGIN_S,
     )
@@ -148,7 +143,7 @@
     assert not relayed.mirror.uses_relay
     assert oldest < MAX_RELAY_AGE_S
     bed.store.put("config", "main", session_bed.configuration(7))
-    await wait_until(lambda: relayed.configuration.version == 7)
+    await session_bed.wait_until(lambda: relayed.configuration.version == 7)
 
 
 async def test_relay_without_store_access_is_skipped(three_vms, monkeypatch):
@@ -188,7 +183,7 @@
     bed.store.put("servers", "i-9", {"service": "\ud800", "addr": 7, "zone": None})
     bed.store.put("servers", "i-8", "no object")
     bed.store.put("config", "main", session_bed.configuration(4))
-    await wait_until(lambda: relayed.configuration.version == 4)
+    await session_bed.wait_until(lambda: relayed.configuration.version == 4)
     assert relayed.mirror.uses_relay
 
 
@@ -198,7 +193,7 @@
     body = {kind: None for kind in relayed.mirror._copies}
     older_response = relay.mirror._handle_poll("vm-9", body)
     bed.store.put("config", "main", session_bed.configuration(5))
-    await wait_until(lambda: relayed.configuration.version == 5)
+    await session_bed.wait_until(lambda: relayed.configuration.version == 5)
     assert not relayed.mirror._apply_response(older_response, clock.now())
     assert relayed.configuration.version == 5
 
@@ -207,10 +202,10 @@
     """An evacuation that had ended came back from a relay that had not seen its end, and the reverse was refused."""
     bed, relay, relayed, _ = three_vms
     bed.store.put("evacuations", "z2", {})
-    await wait_until(lambda: not relayed.fleet.accepts_reads(relayed.fleet.get("i-2")))
+    await session_bed.wait_until(lambda: not relayed.fleet.accepts_reads(relayed.fleet.get("i-2")))
     older_response = relay.mirror._handle_poll("vm-9", dict.fromkeys(relayed.mirror._copies))
     bed.store.delete("evacuations", "z2")
-    await wait_until(lambda: relayed.fleet.accepts_reads(relayed.fleet.get("i-2")))
+    await session_bed.wait_until(lambda: relayed.fleet.accepts_reads(relayed.fleet.get("i-2")))
     assert relayed.mirror.uses_relay
     assert not relayed.mirror._apply_response(older_response, clock.now())
 
@@ -258,9 +253,9 @@
     """One malformed message must not end the task that keeps the copies: the VM watches the store instead."""
     bed, relay, relayed, _ = three_vms
     monkeypatch.setitem(relay.network._handlers, mirror.POLL, lambda vm, body: {key: [7] for key in [*body, "samples"]})
-    await wait_until(lambda: not relayed.mirror.uses_relay)
+    await session_bed.wait_until(lambda: not relayed.mirror.uses_relay)
     bed.store.put("config", "main", session_bed.configuration(8))
-    await wait_until(lambda: relayed.configuration.version == 8)
+    await session_bed.wait_until(lambda: relayed.configuration.version == 8)
     assert relayed.configuration_age.age_s(clock.now()) < MAX_RELAY_AGE_S
 
 
@@ -273,11 +268,11 @@
         raise RuntimeError("fault of a component")
 
     monkeypatch.setattr(relayed.mirror, "_apply_response", fail)
-    await wait_until(lambda: not relayed.mirror.uses_relay)
+    await session_bed.wait_until(lambda: not relayed.mirror.uses_relay)
     bed.store.put("config", "main", session_bed.configuration(9))
-    await wait_until(lambda: relayed.configuration.version == 9)
+    await session_bed.wait_until(lambda: relayed.configuration.version == 9)
     monkeypatch.setattr(relayed.mirror, "_apply_response", apply_response)
-    await wait_until(lambda: relayed.mirror.uses_relay)
+    await session_bed.wait_until(lambda: relayed.mirror.uses_relay)
 
 
 async def test_restarted_vm_calls_the_store_once(three_vms):
@@ -301,7 +296,7 @@
         bed.store.objects["members"].clear()
         before = len(bed.store.calls)
         vms = await asyncio.gather(*(bed.add_daemon(f"vm-{number}", f"z{number % 2}") for number in range(10)))
-        await wait_until(lambda: sum(not vm.mirror.uses_relay for vm in vms) == 2)
+        await session_bed.wait_until(lambda: sum(not vm.mirror.uses_relay for vm in vms) == 2)
         calls = [path for _, path in bed.store.calls[before:]]
         lists_and_registrations = [path for path in calls if path.endswith("/members")]
         others = [path for path in calls if not path.endswith("/members") and "/members" not in path]
@@ -315,7 +310,7 @@
     monkeypatch.setattr(relay_choice, "MAX_RELAYS", 1)
     async with session_bed.Bed() as bed:
         vms = [bed.daemon, *[await bed.add_daemon(f"vm-{number}", "z1") for number in range(2, 8)]]
-        await wait_until(lambda: sum(vm.mirror.uses_relay for vm in vms) == 6)
+        await session_bed.wait_until(lambda: sum(vm.mirror.uses_relay for vm in vms) == 6)
         await asyncio.sleep(1.0)
         before = len(bed.store.calls)
         bed.store.fault = lambda method, path: 503
@@ -323,7 +318,7 @@
         probes = [path for _, path in bed.store.calls[before:]]
         assert len(probes) <= 60
         bed.store.fault = lambda method, path: None
-        await wait_until(lambda: all(vm.configuration_age.age_s(clock.now()) < 1.0 for vm in vms), 2.5)
+        await session_bed.wait_until(lambda: all(vm.configuration_age.age_s(clock.now()) < 1.0 for vm in vms), 2.5)
 
 
 async def test_restarted_vm_takes_no_old_state_from_a_relay_that_is_cut_off(three_vms, monkeypatch):
@@ -363,7 +358,7 @@
     async with asyncio.timeout(5.0), session_bed.Bed() as bed:
         assert faults == [] and bed.daemon.is_ready()
         # The list that could not be applied is read again; a watch from its revision would miss what was in it.
-        await wait_until(lambda: "vm-1" in bed.store.objects.get("members", {}))
+        await session_bed.wait_until(lambda: "vm-1" in bed.store.objects.get("members", {}))
 
 
 async def test_fault_while_applying_the_first_copies_of_a_relay_does_not_end_the_start(three_vms, monkeypatch):
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -9,19 +9,12 @@
 from tests import session_bed
 
 
-async def wait_until(condition, timeout_s=3.0):
-    """Wait until a condition holds, and fail after ``timeout_s`` seconds."""
-    async with asyncio.timeout(timeout_s):
-        while not condition():  # noqa: ASYNC110
-            await asyncio.sleep(0.01)
-
-
 @pytest.fixture
 async def restored():
     """Provide a bed with two VMs of a failure domain and one of another, and a copy of the store."""
     async with session_bed.Bed() as bed:
         vms = [bed.daemon, await bed.add_daemon("vm-2", "z1"), await bed.add_daemon("vm-3", "z2")]
-        await wait_until(lambda: sum(vm.mirror.uses_relay for vm in vms) == 1)
+        await session_bed.wait_until(lambda: sum(vm.mirror.uses_relay for vm in vms) == 1)
         yield bed, vms, bed.store.copy()
 
 
@@ -29,10 +22,10 @@
     """A changed configuration never came into force because its revision was that of a lost one."""
     bed, vms, copied = restored
     bed.store.put("config", "main", session_bed.configuration(3))
-    await wait_until(lambda: all(vm.configuration.version == 3 for vm in vms))
+    await session_bed.wait_until(lambda: all(vm.configuration.version == 3 for vm in vms))
     bed.store.restore(copied)
     bed.store.put("config", "main", session_bed.configuration(4))
-    await wait_until(
+    await session_bed.wait_until(
         lambda: all(vm.configuration.version == 4 for vm in vms), bed.daemon.settings.bounds.configuration_s
     )
 
@@ -41,14 +34,16 @@
     """A watch must not go on from a revision that now stands for another change: what came before it was missed."""
     bed, vms, copied = restored
     bed.store.put("evacuations", "z2", {})
-    await wait_until(lambda: all(not vm.fleet.accepts_reads(vm.fleet.get("i-2")) for vm in vms))
+    await session_bed.wait_until(lambda: all(not vm.fleet.accepts_reads(vm.fleet.get("i-2")) for vm in vms))
     # Pending watches outlive the restoration and are answered by another change of their kind.
     bed.store.reset_connections = lambda: None
     bed.store.restore(copied)
     bed.store.put("evacuations", "z3", {})
     bed.store.put("evacuations", "z2", {})
     bounds = bed.daemon.settings.bounds
-    await wait_until(lambda: all(not vm.fleet.accepts_reads(vm.fleet.get("i-3")) for vm in vms), bounds.evacuation_s)
+    await session_bed.wait_until(
+        lambda: all(not vm.fleet.accepts_reads(vm.fleet.get("i-3")) for vm in vms), bounds.evacuation_s
+    )
 
 
 async def test_promotion_after_a_restoration_has_a_higher_generation_number(restored):
@@ -56,15 +51,15 @@
     bed, vms, copied = restored
     bed.store.revision += 100
     bed.register_instance("i-1", state="draining")
-    await wait_until(lambda: bed.store.promotions)
-    await wait_until(lambda: all(vm.fleet.primary(session_bed.SERVICE).instance.id != "i-1" for vm in vms))
+    await session_bed.wait_until(lambda: bed.store.promotions)
+    await session_bed.wait_until(lambda: all(vm.fleet.primary(session_bed.SERVICE).instance.id != "i-1" for vm in vms))
     first_token = bed.store.promotions[-1][3]
     bed.store.restore(copied)
     for name in bed.service.instances:
         bed.register_instance(name)
     old_primary = bed.store.promotions[-1][1]
     bed.register_instance(old_primary, state="draining")
-    await wait_until(lambda: len(bed.store.promotions) > 1, 8.0)
+    await session_bed.wait_until(lambda: len(bed.store.promotions) > 1, 8.0)
     assert bed.store.promotions[-1][3] > first_token
 
 
@@ -82,13 +77,13 @@
     """A configuration that is older than the one in force must not come back, nor count as confirmed."""
     bed, vms, copied = restored
     bed.store.put("config", "main", session_bed.configuration(3, tenants=[]))
-    await wait_until(lambda: all(vm.configuration.version == 3 for vm in vms))
+    await session_bed.wait_until(lambda: all(vm.configuration.version == 3 for vm in vms))
     bed.store.restore(copied)
     await asyncio.sleep(2.0)
     assert all(vm.configuration.version == 3 for vm in vms)
     assert all(vm.configuration_age.age_s(clock.now()) > 1.5 for vm in vms)
     bed.store.put("config", "main", session_bed.configuration(3, tenants=[]))
-    await wait_until(lambda: all(vm.configuration_age.age_s(clock.now()) < 1.0 for vm in vms))
+    await session_bed.wait_until(lambda: all(vm.configuration_age.age_s(clock.now()) < 1.0 for vm in vms))
     assert all(vm.configuration.version == 3 for vm in vms)
 
 
@@ -96,7 +91,7 @@
     """VMs missing from a restored list would raise the others' shares of rates and connections."""
     bed, vms, copied = restored
     vms.append(await bed.add_daemon("vm-4", "z2"))
-    await wait_until(lambda: all(vm.members.count == 4 for vm in vms))
+    await session_bed.wait_until(lambda: all(vm.members.count == 4 for vm in vms))
     bed.store.restore(copied)
     fewest = 4
     for _ in range(600):
@@ -110,7 +105,7 @@
     """An evacuated domain would get work until the operator has written the evacuation again."""
     bed, vms, copied = restored
     bed.store.put("evacuations", "z2", {})
-    await wait_until(lambda: all(not vm.fleet.accepts_reads(vm.fleet.get("i-2")) for vm in vms))
+    await session_bed.wait_until(lambda: all(not vm.fleet.accepts_reads(vm.fleet.get("i-2")) for vm in vms))
     bed.store.restore(copied)
     served = False
     for number in range(300):
@@ -120,16 +115,16 @@
             bed.store.put("evacuations", "z2", {})
     assert not served
     bed.store.delete("evacuations", "z2")
-    await wait_until(lambda: all(vm.fleet.accepts_reads(vm.fleet.get("i-2")) for vm in vms))
+    await session_bed.wait_until(lambda: all(vm.fleet.accepts_reads(vm.fleet.get("i-2")) for vm in vms))
 
 
 async def test_object_that_is_not_written_again_is_removed_after_the_restoration(restored):
     """An evacuation that the restored store lost for good must not keep its domain out of service."""
     bed, vms, copied = restored
     bed.store.put("evacuations", "z2", {})
-    await wait_until(lambda: all(not vm.fleet.accepts_reads(vm.fleet.get("i-2")) for vm in vms))
+    await session_bed.wait_until(lambda: all(not vm.fleet.accepts_reads(vm.fleet.get("i-2")) for vm in vms))
     bed.store.restore(copied)
-    await wait_until(
+    await session_bed.wait_until(
         lambda: all(vm.fleet.accepts_reads(vm.fleet.get("i-2")) for vm in vms), copies.RESTORATION_GRACE_S + 2.0
     )
 
@@ -138,7 +133,7 @@
     """An unexpected error in a component must not end the task that chooses the source of the copies."""
     bed, vms, copied = restored
     bed.store.put("evacuations", "z2", {})
-    await wait_until(lambda: all(not vm.fleet.accepts_reads(vm.fleet.get("i-2")) for vm in vms))
+    await session_bed.wait_until(lambda: all(not vm.fleet.accepts_reads(vm.fleet.get("i-2")) for vm in vms))
     set_evacuated_domains = fleet.Fleet.set_evacuated_domains
     faults = [RuntimeError("fault of a component") for _ in vms]
 
@@ -152,9 +147,9 @@
     monkeypatch.setattr(fleet.Fleet, "set_evacuated_domains", fail_once)
     await asyncio.sleep(copies.RESTORATION_GRACE_S)
     assert faults == []
-    await wait_until(lambda: sum(vm.mirror.uses_relay for vm in vms) == 1)
+    await session_bed.wait_until(lambda: sum(vm.mirror.uses_relay for vm in vms) == 1)
     bed.store.put("config", "main", session_bed.configuration(6))
-    await wait_until(lambda: all(vm.configuration.version == 6 for vm in vms))
+    await session_bed.wait_until(lambda: all(vm.configuration.version == 6 for vm in vms))
     assert all(vm.fleet.accepts_reads(vm.fleet.get("i-2")) for vm in vms)
 
 
@@ -166,7 +161,7 @@
     response = relay.mirror._handle_poll("vm-9", dict.fromkeys(relayed.mirror._copies))
     bed.store.restore(copied)
     bed.store.put("config", "main", session_bed.configuration(5))
-    await wait_until(lambda: relayed.configuration.version == 5)
+    await session_bed.wait_until(lambda: relayed.configuration.version == 5)
     assert not relayed.mirror._apply_response(response, clock.now())
 
 
@@ -184,4 +179,4 @@
         await asyncio.sleep(election.CLAIM_EXCLUSIVITY_S - 1.0)
         assert bed.store.promotions == []
         assert all(instance.paused_term == 0 for instance in bed.service.instances.values())
-        await wait_until(lambda: bed.service.primary not in ("i-1", ""))
+        await session_bed.wait_until(lambda: bed.service.primary not in ("i-1", ""))
