--- a/src/currantlead/sessions/copies.py
+++ b/src/currantlead/sessions/copies.py
@@ -13,7 +13,6 @@
 
 COMPRESSION_LEVEL = 1
 """zlib compression level: a configuration of 100 KB is compressed in 1 ms to a tenth of its size."""
-
 RESTORATION_GRACE_S = 4.0
 """Time for which objects that a restored store lacks are kept: instances write their entries again within about 2 s,
 and VMs register again within 2.5 s."""
@@ -27,7 +26,7 @@
 
     Attributes:
         follower: Callbacks for changes.
-        own_name: Name of the object that this VM keeps in the store itself, or empty.
+        own_name: Name of this VM's own object of this kind, or empty if it has none.
         objects_by_name: Objects by name; None before the first list.
         confirmed_at: Clock reading at which the copy was last known to be current.
         as_of: Revision of the store as of which the copy is known.
@@ -55,7 +54,7 @@
         """Replace the objects by a complete list; return whether that changed any.
 
         Objects that a restored store lacks are kept for ``RESTORATION_GRACE_S``, in which their writers notice the loss
-        and write them again.
+        and write them again. This VM's own entry is not kept, because its absence makes the VM register again.
 
         Args:
             present: The list.
--- a/src/currantlead/sessions/store.py
+++ b/src/currantlead/sessions/store.py
@@ -282,10 +282,12 @@
         call = objects.watch_call(follower.kind, follower.revision, wait_s)
         response = await self.call(call, client, wait_s + CALL_TIMEOUT_S)
         era = self._read_era(response)
-        if response.status == objects.HISTORY_GONE or objects.era_of(follower.revision) != era:
-            # In another era, the same number may stand for another change.
+        # In another era, the same number may stand for another change.
+        is_other_era = objects.era_of(follower.revision) != era
+        if response.status == objects.HISTORY_GONE or is_other_era:
+            reason = "store began another era" if is_other_era else "store dropped its history"
             _log.bind(kind=follower.kind, revision=objects.format_revision(follower.revision)).info(
-                "store dropped its history, listing again"
+                "{}, listing again", reason
             )
             follower.revision = None
             return float("-inf")
