--- a/review/2/case.py
+++ b/review/2/case.py
@@ -7,7 +7,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
-from standins import bed, daemons  # noqa: E402
+from standins import bed, daemons
 
 RECORD = pathlib.Path(__file__).with_name("record.txt")
 ZONES = {"front-z1-1": "z1", "front-z1-2": "z1", "front-z2-1": "z2", "front-z3-1": "z3"}
@@ -68,6 +68,7 @@
 
 
 async def run() -> int:
+    """Run the clients, and return the exit code of the script."""
     # One of these two processes has the connection of A's transaction; which one depends on the names.
     for victim in ("front-z1-1", "front-z1-2"):
         async with bed.Bed(ZONES) as deployment:
--- a/review/standins/bed.py
+++ b/review/standins/bed.py
@@ -73,9 +73,7 @@
         self.platform.put("config", "main", desired_state(1, self.max_connections))
         self.register()
         for name, zone in self._zones.items():
-            self.daemons[name] = daemons.Daemon(
-                name, zone, self.platform.port, pathlib.Path(self._temporary.name)
-            )
+            self.daemons[name] = daemons.Daemon(name, zone, self.platform.port, pathlib.Path(self._temporary.name))
         return self
 
     async def __aexit__(self, *failure: Any) -> None:
@@ -86,6 +84,7 @@
         self._temporary.cleanup()
 
     async def start_daemons(self) -> None:
+        """Start the daemons and wait until they are ready and know each other."""
         for daemon in self.daemons.values():
             daemon.start()
         await asyncio.gather(*(daemon.wait_until_ready() for daemon in self.daemons.values()))
@@ -99,6 +98,7 @@
             self.platform.put("servers", name, entry)
 
     def client(self, name: str) -> daemons.Client:
+        """Return a client that adds its messages to the record."""
         return daemons.Client(name, self.record)
 
     def log(self, name: str) -> str:
--- a/review/standins/daemons.py
+++ b/review/standins/daemons.py
@@ -127,6 +127,7 @@
         self._supervisor: asyncio.Task[None] | None = None
 
     def start(self) -> None:
+        """Start the process, and again whenever it ends."""
         self._supervisor = asyncio.create_task(self._supervise())
 
     async def _supervise(self) -> None:
@@ -148,10 +149,12 @@
             await asyncio.sleep(RESTART_DELAY_S)
 
     def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process if it is running."""
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(number)
 
     def is_ready(self) -> bool:
+        """Return whether the process answers the platform's question with 200."""
         try:
             url = f"http://{self.host}:{self.ready}/currantlead/readiness"
             with urllib.request.urlopen(url, timeout=0.5) as response:
@@ -160,11 +163,13 @@
             return False
 
     async def wait_until_ready(self, timeout_s: float = 15.0) -> None:
+        """Wait until the process is ready."""
         async with asyncio.timeout(timeout_s):
-            while not await asyncio.to_thread(self.is_ready):
+            while not await asyncio.to_thread(self.is_ready):  # noqa: ASYNC110
                 await asyncio.sleep(0.05)
 
     async def stop(self) -> None:
+        """Kill the process and do not start it again."""
         if self._supervisor is not None:
             self._supervisor.cancel()
         self.signal(signal.SIGCONT)
@@ -185,6 +190,7 @@
         self._writer: asyncio.StreamWriter | None = None
 
     async def open(self, daemon: Daemon, database: str, key: str) -> bool:
+        """Open a session, and return whether it was accepted."""
         self._reader, self._writer = await asyncio.open_connection(daemon.host, daemon.front)
         answer = await self._exchange(f"START {database} {key}", f"START {database} at {daemon.name}")
         return answer[-1:] == ["READY I -"]
@@ -210,6 +216,7 @@
         return answer
 
     def close(self) -> None:
+        """Close the connection."""
         if self._writer is not None:
             self._writer.close()
 
@@ -222,18 +229,22 @@
         self._lines: list[tuple[float, str]] = []
 
     def now(self) -> float:
+        """Return the clock reading of the record."""
         return time.monotonic()
 
     def add(self, text: str, at: float | None = None) -> None:
+        """Add a line, at the present time unless another is given."""
         self._lines.append((time.monotonic() if at is None else at, text))
 
     def add_runs(self, runs: list[Any]) -> None:
+        """Add what the instances ran."""
         for run in runs:
             place = f"{run.instance} connection {run.connection}"
             place += f" transaction {run.transaction}" if run.transaction else ""
             self.add(f"{place}: runs {run.request} {run.text} (tenant {run.tenant})", run.at)
 
     def write(self, path: pathlib.Path) -> None:
+        """Write all lines in the order of their times."""
         lines = sorted(self._lines, key=lambda line: line[0])
         path.write_text("".join(f"{at - self._began_at:8.3f}  {text}\n" for at, text in lines))
 
@@ -252,6 +263,6 @@
 
     try:
         return asyncio.run(limited())
-    except Exception as error:  # noqa: BLE001
+    except Exception as error:
         sys.stderr.write(f"the case could not run: {error!r}\n")
         return 2
--- a/review/standins/instances.py
+++ b/review/standins/instances.py
@@ -21,6 +21,7 @@
 
     @property
     def position(self) -> tuple[int, int]:
+        """Return the position of the commit, or of the end of the log."""
         return self.term, self.number
 
 
@@ -47,7 +48,9 @@
         acknowledged: Commits that were acknowledged to the proxy: request ids and time.
     """
 
-    def __init__(self, name: str, ids: list[str], now: Callable[[], float], *, max_connections: int, promote_s: float = 0.3):
+    def __init__(
+        self, name: str, ids: list[str], now: Callable[[], float], *, max_connections: int, promote_s: float = 0.3
+    ):
         self.name, self.now, self.max_connections, self.promote_s = name, now, max_connections, promote_s
         self.term = 1
         self.instances = {item: Instance(self, item) for item in ids}
@@ -60,10 +63,12 @@
         self._transactions = 0
 
     def next_connection(self) -> int:
+        """Return the number of a new connection."""
         self._connections += 1
         return self._connections
 
     def next_transaction(self) -> int:
+        """Return the number of a new transaction."""
         self._transactions += 1
         return self._transactions
 
@@ -89,10 +94,12 @@
         self.on_change()
 
     async def start(self) -> None:
+        """Open the listeners."""
         for instance in self.instances.values():
             await instance.start()
 
     def stop(self) -> None:
+        """Close the listeners and all connections."""
         for instance in self.instances.values():
             instance.close()
 
@@ -112,19 +119,24 @@
 
     @property
     def leads(self) -> bool:
+        """Return whether the instance is the primary."""
         return self.service.primary == self.id and self.up
 
     def receive(self, commit: Commit) -> None:
+        """Append a commit that the primary has sent."""
         self.log.append(commit)
 
     def position(self) -> str:
+        """Return the position of the commit, or of the end of the log."""
         return f"{self.log[-1].term}.{self.log[-1].number}" if self.log else "1.0"
 
     async def start(self) -> None:
+        """Open the listeners."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port, limit=LIMIT)
         self.port = self._server.sockets[0].getsockname()[1]
 
     def close(self) -> None:
+        """Close the listener and abort all connections."""
         if self._server is not None:
             self._server.close()
         for connection in list(self.connections):
@@ -159,20 +171,24 @@
         self.pending: list[tuple[str, str, str]] = []
 
     def record(self, request: str, text: str) -> None:
+        """Record what ran on this connection."""
         self.service.runs.append(
             Run(self.service.now(), self.instance.id, self.number, self.transaction, self.tenant, request, text)
         )
 
     def ready(self) -> str:
+        """Return the message that ends a response."""
         return f"READY {self.state} {self.instance.position()}"
 
     def send(self, *messages: str) -> None:
+        """Send messages."""
         self.writer.write("".join(f"{message}\r\n" for message in messages).encode())
 
     async def _line(self) -> str:
         return (await self.reader.readuntil(b"\r\n"))[:-2].decode()
 
     async def serve(self) -> None:
+        """Serve the connection until it ends."""
         word, service, self.tenant, *expected = (await self._line()).split(" ")
         if word != "START" or service != self.service.name or (expected and expected[0] != self.instance.id):
             self.send("ERR MISROUTED -")
--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -17,6 +17,7 @@
         fault: Called with method, path and number of the connection of each call. Returns None to answer it, "lost" to
             carry it out without an answer, or "silent" to ignore it; both leave the connection silent from then on.
         promote: Called with service and instance of each promotion that the fence admits; returns whether it runs.
+        rewrite: Called with kind and spec of what a call writes; stands for a network device that changes addresses.
         calls: Time, method, path, body and status of each call.
     """
 
@@ -30,18 +31,22 @@
         self.calls: list[tuple[float, str, str, Any, int]] = []
         self.fault: Callable[[str, str, int], str | None] = lambda method, path, connection: None
         self.promote: Callable[[str, str], bool] = lambda service, instance: True
+        self.rewrite: Callable[[str, Any], Any] = lambda kind, spec: spec
         self._changed = asyncio.Event()
         self._server: asyncio.Server | None = None
         self._connections = 0
 
     async def start(self) -> None:
+        """Listen on a free port."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=1 << 22)
         self.port = self._server.sockets[0].getsockname()[1]
 
     def stop(self) -> None:
+        """Close the listener."""
         self._server.close()
 
     def put(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
+        """Create or replace an object."""
         self.revision += 1
         known = self.objects.setdefault(kind, {}).get(name)
         created = known["meta"]["createdRev"] if known else self.revision
@@ -51,6 +56,7 @@
         return stored
 
     def delete(self, kind: str, name: str) -> None:
+        """Remove an object."""
         self.revision += 1
         self._record(kind, self.objects[kind].pop(name), True)
 
@@ -82,10 +88,8 @@
                 if fault == "lost":
                     await asyncio.sleep(3600)
                 data = json.dumps(answer).encode()
-                writer.write(
-                    f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {len(data)}\r\n\r\n".encode()
-                    + data
-                )
+                head = f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {len(data)}\r\n\r\n"
+                writer.write(head.encode() + data)
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError):
             pass
@@ -113,6 +117,8 @@
             items = [known[item] for item in names[:PAGE_ITEMS]]
             return 200, {"items": items, "hasMore": len(names) > PAGE_ITEMS, "asOf": self.revision}
         name = name or body["meta"]["name"]
+        if body and "spec" in body:
+            body["spec"] = self.rewrite(kind, body["spec"])
         found = known.get(name)
         if method == "POST":
             return (409, found) if found else (201, self.put(kind, name, body["spec"]))
