Log the statements of forwarded transactions at both VMs

Three hypotheses: the restarted holder gives out a transaction number again; its pool lends a connection twice; the caller's VM mixes up its sessions' transactions. No line told them apart: only the first statement of a transaction was logged, without its number.

New DEBUG lines name the transaction at the caller's VM and at the holder. A line of the holder also named the caller's VM in the field 'vm', which hid the VM that had written the line; the field is 'caller_vm' now.

--- a/src/currantlead/sessions/instances/forwarding.py
+++ b/src/currantlead/sessions/instances/forwarding.py
@@ -43,6 +43,9 @@
         """Run a statement; see ``Transaction.run``."""
         if not self._open:
             raise errors.LinkLostError("the transaction has ended", sent=False)
+        _log.bind(
+            request=order.request_id, instance=self.instance.id, holder=self._holder, transaction=self._number
+        ).debug("sending a statement in a transaction")
         try:
             response = await self._path.request_holder(
                 self._holder,
--- a/src/currantlead/sessions/instances/holders.py
+++ b/src/currantlead/sessions/instances/holders.py
@@ -175,6 +175,13 @@
         if transaction is not None:
             number = next(self._numbers)
             self._transactions[number] = _HeldTransaction(vm, transaction, clock.now())
+            _log.bind(
+                request=order.request_id,
+                instance=tracked.instance.id,
+                organisation=body["organisation"],
+                caller_vm=vm,
+                transaction=number,
+            ).debug("transaction opened for another VM")
         return self._encode_response(report, number)
 
     def _encode_response(self, report: orders.Report, transaction: int | None) -> dict[str, Any]:
@@ -197,6 +204,9 @@
             return _encode_lost(errors.LinkLostError("the holder was stalled while the order was queued", sent=False))
         entry.busy = True
         order = order_codec.decode_order(body["order"])
+        _log.bind(
+            request=order.request_id, instance=entry.transaction.instance.id, caller_vm=entry.vm, transaction=number
+        ).debug("running a statement in a transaction")
         try:
             report = await entry.transaction.run(order)
         except errors.LinkLostError as error:
@@ -223,7 +233,7 @@
         now = clock.now()
         for number, entry in list(self._transactions.items()):
             if not entry.busy and now - entry.last_used_at > ABANDONED_S:
-                _log.bind(instance=entry.transaction.instance.id, vm=entry.vm).warning(
+                _log.bind(instance=entry.transaction.instance.id, caller_vm=entry.vm, transaction=number).warning(
                     "abandoned transaction rolled back"
                 )
                 await self._end_transaction(number)
