Do not reuse the numbers of forwarded transactions after a restart

What callers saw: a caller that rested in a transaction while its holder was killed and started again got DONE for its next statement and for its COMMIT.

Cause: each process of a holder numbered transactions from 1, and the caller's VM names a transaction by holder and number. After a restart the numbers of open transactions stood for other ones, so that the checks of number and sender passed.

Change: numbers begin at a random 62-bit number in each process, as the stamps of heartbeats do. A number of an earlier process is then unknown, and the holder refuses its statements unsent: the caller gets ABORTED, which is true, because the instance rolled back when the connections of the killed process closed. An order to end such a transaction has no effect. Frames are not changed.

The same cause elsewhere: identifiers that a process gives out and others send back were looked through. Transactions of the HTTP interface, copies of relays, counts of usage, replies of streams and heartbeats carry the incarnation or begin at a random number; duties are named by the store's revisions, prepared statements by their connection. None is affected.

--- a/src/currantlead/sessions/instances/holders.py
+++ b/src/currantlead/sessions/instances/holders.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import itertools
+import secrets
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import TYPE_CHECKING, Any
 
@@ -84,7 +85,8 @@
         self._samples = samples
         self._path_of = path_of
         self._transactions: dict[int, _HeldTransaction] = {}
-        self._numbers = itertools.count(1)
+        # Other VMs still use the numbers that an earlier process of this VM gave out.
+        self._numbers = itertools.count(secrets.randbits(62))
         self._orders_running = 0
         self._last_check_at = clock.now()
         self._stalled_until = 0.0
@@ -195,6 +197,7 @@
         number = body["transaction"]
         entry = self._transactions.get(number)
         if entry is None or entry.vm != vm:
+            _log.bind(caller_vm=vm, transaction=number).info("statement refused, its transaction is not open here")
             return _encode_lost(errors.LinkLostError("the holder has no such transaction", sent=False))
         return await self._report_load(vm, entry.transaction.instance.id, self._continue(number, entry, body))
 
--- a/tests/test_holders.py
+++ b/tests/test_holders.py
@@ -143,6 +143,52 @@
     assert bed.service.log == []
 
 
+@pytest.mark.parametrize(
+    ("statement", "answer"),
+    [
+        ("WRITE a2 y", "ERR ABORTED"),
+        ("COMMIT", "ERR ABORTED"),
+        ("ROLLBACK", "DONE -"),
+        (None, None),
+    ],
+    ids=["write", "commit", "rollback", "disconnect"],
+)
+async def test_transaction_of_a_restarted_holder_is_not_taken_for_a_new_one(pair, statement, answer):
+    """Statements of a transaction that was open at a holder's restart must not run in, or end, another caller's."""
+    # Guards against PINNED: the restarted holder gave out the transaction's number again.
+    bed, holder, borrower = pair
+    first = await bed.caller(at=borrower)
+    await first.query("BEGIN")
+    await first.query("WRITE a1 x")
+    (entry,) = holder.holder._transactions.values()
+    await bed.stop_daemon(holder)
+    # The kernel closes the connections of a killed process.
+    entry.transaction.link.abort()
+    restarted = await bed.add_daemon(holder.settings.vm, holder.settings.domain)
+    instance = borrower.fleet.get("i-1").instance
+    await session_bed.wait_until(
+        lambda: borrower.connection_limits.holders(instance, borrower.liveness.is_down) == [holder.settings.vm]
+    )
+    second = await bed.caller(key="key-of-dyers", at=borrower)
+    await second.query("BEGIN")
+    assert (await second.query("WRITE b1 x"))[0].startswith("DONE i-1")
+    assert restarted.holder.active == 1
+    if statement is None:
+        first.close()
+        await asyncio.sleep(0.05)
+    else:
+        assert (await first.query(statement))[0].startswith(answer)
+    assert (await second.query("WRITE b2 y"))[0].startswith("DONE i-1")
+    assert (await second.query("COMMIT"))[0].startswith("DONE i-1")
+    texts = [(run.text, run.organisation) for run in bed.service.runs]
+    assert texts == [
+        ("WRITE a1 x", session_bed.ORGANISATION),
+        ("WRITE b1 x", "dyers"),
+        ("WRITE b2 y", "dyers"),
+        ("COMMIT", "dyers"),
+    ]
+
+
 async def test_forwarded_write_with_lost_response_is_in_doubt(pair):
     """A response that the holder did not get from the instance is reported to the caller as in doubt."""
     bed, _, borrower = pair
