Decode lists in which one value cannot be decoded

Seen: with such an entry in the store, VMs that run log 'applying a change failed, retrying' or 'listing or watching failed' every 0.4 s and apply no further change of that kind; VMs that start never become ready. No process ends: the errors are contained in the task that follows the store.

Cause: a response of the store was decoded as one JSON document. 100,000 nested arrays raise RecursionError, which is no ValueError and so not taken for a malformed response; an integer of 5,000 digits or a byte that is not UTF-8 makes the whole response malformed. Numbers beyond the range of doubles are decoded as infinity, and int() of it raises OverflowError, which the decoders did not expect either.

Change: json_documents decodes a response as before, and only if that fails or gives nesting of over 64 levels, once more with what is nested too deeply, and numbers that are too long, replaced by null. Its searches take linear time. Copies from relays are decoded the same way, and all decoders of objects turn OverflowError into their own error.

--- a/src/currantlead/platform/objects.py
+++ b/src/currantlead/platform/objects.py
@@ -1,11 +1,11 @@
 """Codec of the store's objects: configuration, instances, evacuations, members, duties, usage."""
 
 import dataclasses
-import json
 from collections.abc import Mapping
 from typing import Any
 
 from currantlead import errors, logs
+from currantlead.platform import json_documents
 from currantlead.sessions import model
 
 _log = logs.part("platform")
@@ -112,7 +112,7 @@
 
 def _load_json(body: bytes) -> Any:
     try:
-        return json.loads(body)
+        return json_documents.decode(body)
     except ValueError as error:
         raise errors.MalformedObjectError(f"store sent a body that is not valid JSON: {error}") from error
 
@@ -134,7 +134,7 @@
     try:
         meta = item["meta"]
         return StoredObject(str(meta["name"]), combine_revision(era, int(meta["revision"])), item.get("spec"))
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
+    except (AttributeError, KeyError, TypeError, ValueError, OverflowError) as error:
         raise errors.MalformedObjectError(
             f"store sent an object without a valid name or revision: {error!r}"
         ) from error
@@ -164,7 +164,7 @@
             return Page(revision, present, removed)
         items = tuple(_decode_stored(item, era) for item in response["items"])
         return Page(revision, items, (), items[-1].name if response.get("hasMore") and items else "")
-    except (KeyError, TypeError, ValueError) as error:
+    except (AttributeError, KeyError, TypeError, ValueError, OverflowError) as error:
         raise errors.MalformedObjectError(f"store sent a malformed list or watch response: {error!r}") from error
 
 
@@ -190,7 +190,7 @@
             organisation_by_key={key: tenant["name"] for tenant in value["tenants"] for key in tenant["apiKeys"]},
             transaction_idle_s=value.get("limits", {}).get("txIdleMs", 3000) / 1000,
         )
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
+    except (AttributeError, KeyError, TypeError, ValueError, OverflowError) as error:
         raise errors.MalformedObjectError(
             f"configuration at revision {stored.revision} is malformed: {error!r}"
         ) from error
@@ -283,7 +283,7 @@
             str(value["domain"]),
             _decode_capacity(stored.name, value.get("capacity")),
         )
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
+    except (AttributeError, KeyError, TypeError, ValueError, OverflowError) as error:
         _log.warning("ignoring malformed member entry {}: {!r}", stored.name, error)
         return None
 
@@ -343,7 +343,7 @@
                 for window, counts in value["windows"].items()
             },
         )
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
+    except (AttributeError, KeyError, TypeError, ValueError, OverflowError) as error:
         raise errors.MalformedObjectError(f"record of usage windows is malformed: {error!r}") from error
 
 
--- a/src/currantlead/sessions/shared/copies.py
+++ b/src/currantlead/sessions/shared/copies.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from currantlead import errors, logs
-from currantlead.platform import objects
+from currantlead.platform import json_documents, objects
 from currantlead.sessions import clock
 from currantlead.sessions.shared import store
 
@@ -159,8 +159,8 @@
         if encoded is not None:
             present = tuple(
                 objects.StoredObject(str(name), int(revision), value)
-                for name, revision, value in json.loads(zlib.decompress(encoded))
+                for name, revision, value in json_documents.decode(zlib.decompress(encoded))
             )
-    except (TypeError, ValueError, zlib.error) as error:
+    except (TypeError, ValueError, OverflowError, zlib.error) as error:
         raise errors.MalformedObjectError(f"copy of {kind} from a relay is malformed: {error!r}") from error
     return RelayedCopy(version, float(age_s), as_of, present)
--- a/tests/standins/object_store.py
+++ b/tests/standins/object_store.py
@@ -1,6 +1,7 @@
 """Stand-in for the users' platform: object store with revisions and watches, and promotions with fencing tokens."""
 
 import asyncio
+import dataclasses
 import json
 import urllib.parse
 from collections.abc import Callable
@@ -12,6 +13,26 @@
 PAGE_ITEMS = 500
 
 
+@dataclasses.dataclass(frozen=True)
+class RawValue:
+    """Value that another writer stored: its bytes are sent as they are, even if they are not valid JSON."""
+
+    data: bytes
+
+
+def _encode_answer(answer: Any) -> bytes:
+    raw_values: list[bytes] = []
+
+    def encode_raw(value: RawValue) -> str:
+        raw_values.append(value.data)
+        return f"raw value {len(raw_values)}"
+
+    data = json.dumps(answer, default=encode_raw).encode()
+    for number, raw_value in enumerate(raw_values, 1):
+        data = data.replace(b'"raw value %d"' % number, raw_value)
+    return data
+
+
 class ObjectStore:
     """HTTP server on a loopback port that stores objects by kind and name.
 
@@ -154,7 +175,7 @@
         if fault == "lost":
             writer.transport.abort()
             return False
-        data = json.dumps(answer).encode()
+        data = _encode_answer(answer)
         fields = [("Content-Type", "application/json"), ("Content-Length", str(len(data)))]
         if target.startswith(PREFIX):
             fields.append(("Store-Era", str(self.era)))
