Ignore instance entries with addresses and numbers that nothing accepts

Cause: decode_instance took any integer as a port and any text as a host, a service or a domain. A socket raises OverflowError for a port out of range, which is no OSError, so that connecting ended in an error that no caller expects. A host name would have been looked up, and one of over 63 characters raises UnicodeError. A service name with blanks or line ends would have been written into the START message as it is. Numbers of any size were kept as slots and time of start.

Change: an entry is used only if its id, service and domain are names that can be a field of the line protocol, its address is an IPv4 address with a port from 1 to 65535, and its numbers are below 2**53. What is logged about an entry is limited to 200 characters; it could be 1 MB.

--- a/src/currantlead/platform/objects.py
+++ b/src/currantlead/platform/objects.py
@@ -1,6 +1,7 @@
 """Codec of the store's objects: configuration, instances, evacuations, members, duties, usage."""
 
 import dataclasses
+import socket
 from collections.abc import Mapping
 from typing import Any
 
@@ -25,6 +26,11 @@
 """Position of the era in a revision. It leaves room for ten years of 3,200 changes a second in one era, and for 2**13
 eras in numbers that JSON decoders read as doubles."""
 
+MAX_COUNT = 1 << 53
+"""Bound of the numbers in entries: from here on, decoders that read JSON numbers as doubles lose digits."""
+MAX_LOGGED_ERROR = 200
+"""Maximum length of what is logged about a malformed entry, which may be as large as the store permits."""
+
 OK, CREATED = 200, 201
 NOT_FOUND, CONFLICT, HISTORY_GONE = 404, 409, 410
 
@@ -229,40 +235,67 @@
 def decode_instance(stored: StoredObject) -> model.Instance | None:
     """Decode an instance; return None if the entry is malformed or the instance is not usable.
 
-    Programs other than instances may write entries, so a missing field or one of the wrong type is logged and the entry
-    is ignored.
+    Programs other than instances may write entries. An entry with a missing or malformed field is logged and ignored.
     """
     entry = stored.value
     try:
         host, _, port = _expect_type(entry["addr"], str).rpartition(":")
-        state = entry["state"]
+        state = _expect_type(entry["state"], str)
         if state not in ("ready", "draining"):
-            raise ValueError(f"state {state!r}")
+            raise ValueError(f"unknown state {state!r}")
         return model.Instance(
-            id=stored.name,
-            service=_expect_type(entry["service"], str),
-            host=host,
-            port=int(port),
-            domain=_expect_type(entry["zone"], str),
+            id=_expect_name(stored.name),
+            service=_expect_name(entry["service"]),
+            host=_expect_host(host),
+            port=_expect_port(int(port) if port.isascii() and port.isdigit() else None),
+            domain=_expect_name(entry["zone"]),
             draining=state == "draining",
-            role=model.Role(entry["dbRole"]),
+            role=model.Role(_expect_type(entry["dbRole"], str)),
             revision=stored.revision,
-            started_at_ms=_expect_type(entry.get("born", 0), int),
-            slots=_decode_slots(entry.get("slots", 0)),
+            started_at_ms=_expect_count(entry.get("born", 0)),
+            slots=_expect_count(entry.get("slots", 0)),
         )
     except (KeyError, TypeError, ValueError) as error:
-        _log.warning("ignoring malformed instance entry {}: {!r}", stored.name, error)
+        _log_malformed("instance", stored, error)
         return None
 
 
-def _decode_slots(value: Any) -> int:
-    """Return the number of slots, or 0 if it is malformed: the instance is usable without it."""
-    return value if isinstance(value, int) and not isinstance(value, bool) and value > 0 else 0
+def _log_malformed(subject: str, stored: StoredObject, error: Exception) -> None:
+    _log.warning("ignoring malformed {} entry {!r}: {}", subject, stored.name, repr(error)[:MAX_LOGGED_ERROR])
 
 
 def _expect_type(value: Any, kind: type) -> Any:
     if not isinstance(value, kind) or isinstance(value, bool):
-        raise TypeError(f"expected {kind.__name__}, got {value!r}")
+        raise TypeError(f"expected {kind.__name__}, got {type(value).__name__}")
+    return value
+
+
+def _expect_name(value: Any) -> str:
+    """Return a name that can be a field of the line protocol."""
+    if not _expect_type(value, str).isprintable() or not value or " " in value:
+        raise ValueError(f"{value!r} is not a name")
+    return value
+
+
+def _expect_host(value: Any) -> str:
+    """Return an IPv4 address; host names are not looked up on the platform."""
+    try:
+        socket.inet_pton(socket.AF_INET, _expect_type(value, str))
+    except OSError:
+        raise ValueError(f"{value!r} is not an IPv4 address") from None
+    return value
+
+
+def _expect_port(value: Any) -> int:
+    if not 0 < _expect_type(value, int) < 1 << 16:
+        raise ValueError("port is not between 1 and 65535")
+    return value
+
+
+def _expect_count(value: Any) -> int:
+    """Return a natural number that fits the computations of this program and any field of the frames between VMs."""
+    if not 0 <= _expect_type(value, int) < MAX_COUNT:
+        raise ValueError(f"number is not between 0 and {MAX_COUNT}")
     return value
 
 
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -45,6 +45,19 @@
     "not a number": b"NaN",
 }
 """Values that a JSON decoder refuses, or that fit no number or text of the platform, by name."""
+ODD_PORTS = ["0", "-1", "65536", "99999", "9" * 30, "9" * 5000, "80.0", "8_0", "\u0663", ""]
+ODD_HOSTS = ["", "localhost:", "no-such-host", "x" * 70, "127.0.0.1\0", "1.2.3", "[::1", "127.0.0.1 "]
+
+ODD_INSTANCES = (
+    {name: raw for name, raw in ODD_VALUES.items()}
+    | {
+        f"{field}: {name}": _replace(INSTANCE, field, raw)
+        for field in ("service", "addr", "zone", "slots", "state", "dbRole", "born")
+        for name, raw in ODD_VALUES.items()
+    }
+    | {f"port {port[:9]!r}": _replace(INSTANCE, "addr", json.dumps(f"127.0.0.1:{port}").encode()) for port in ODD_PORTS}
+    | {f"host {host[:14]!r}": _replace(INSTANCE, "addr", json.dumps(f"{host}:80").encode()) for host in ODD_HOSTS}
+)
 
 
 def _page(odd: bytes, good: dict, *, is_list: bool = True) -> bytes:
@@ -65,6 +78,13 @@
     assert page.present[0].value == page.present[2].value == INSTANCE
 
 
+@pytest.mark.parametrize("odd", ODD_INSTANCES.values(), ids=ODD_INSTANCES)
+def test_odd_instance_entry_names_no_instance(odd):
+    """Guards against promotions and statements that fail because of an address or number that nothing accepts."""
+    decoded = [objects.decode_instance(stored) for stored in objects.decode_page(_page(odd, INSTANCE), 0).present]
+    assert decoded[1] is None and None not in (decoded[0], decoded[2])
+
+
 @pytest.mark.parametrize("depth", [3, 60, 61, 62, 63, 64, 65, 100, 900, 2000])
 def test_nesting_is_cut_at_the_limit_only(depth):
     """Values up to the maximum depth are kept, and deeper ones lose what is below it."""
@@ -122,3 +142,13 @@
             await session_bed.wait_until(lambda vm=vm: vm.members.names() == ["vm-1", "vm-2", "vm-3"])
             assert vm.fleet.ids() == {"i-1", "i-2", "i-3"}
             assert await _serves(bed, vm)
+
+
+async def test_primary_is_replaced_beside_an_odd_replica():
+    """Guards against promotions that fail because of an entry with a port that no socket takes."""
+    async with session_bed.Bed() as bed:
+        bed.store.put(objects.INSTANCES, "odd", INSTANCE | {"addr": "127.0.0.1:99999"})
+        caller = await bed.caller()
+        assert (await caller.query("WRITE a1 x"))[0].startswith("DONE i-1")
+        bed.register_instance("i-1", state="draining")
+        await session_bed.wait_until(lambda: bed.service.primary != "i-1", timeout_s=6.0)
