Ignore member entries with addresses that no socket takes

A port out of range reaches two places: the streams between VMs, where connecting raises OverflowError, and the datagram socket for loans of tokens, which asyncio closes for good after an error that is no OSError (read in the code, not shown in a run). A host name would have been looked up in the event loop. An integer of 400 digits as the capacity raised OverflowError, so that the VMs stopped following the members.

Change: the same checks as for instances; a malformed capacity is left out and its value no longer logged.

--- a/src/currantlead/platform/objects.py
+++ b/src/currantlead/platform/objects.py
@@ -306,18 +306,18 @@
 
 
 def decode_member(stored: StoredObject) -> model.Member | None:
-    """Decode a VM; return None if the entry is malformed."""
+    """Decode a VM; return None if the entry is malformed, which is logged."""
+    value = stored.value
     try:
-        value = stored.value
         return model.Member(
-            stored.name,
-            str(value["peerHost"]),
-            int(value["peerPort"]),
-            str(value["domain"]),
+            _expect_name(stored.name),
+            _expect_host(value["peerHost"]),
+            _expect_port(value["peerPort"]),
+            _expect_name(value["domain"]),
             _decode_capacity(stored.name, value.get("capacity")),
         )
-    except (AttributeError, KeyError, TypeError, ValueError, OverflowError) as error:
-        _log.warning("ignoring malformed member entry {}: {!r}", stored.name, error)
+    except (KeyError, TypeError, ValueError) as error:
+        _log_malformed("member", stored, error)
         return None
 
 
@@ -326,8 +326,8 @@
     if value is None:
         return None
     # A comparison with NaN fails, too.
-    if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 < value < float("inf"):
-        _log.warning("ignoring malformed capacity {!r} of member {}", value, name)
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 < value < MAX_COUNT:
+        _log.warning("ignoring malformed capacity of member {!r}", name)
         return None
     return float(value)
 
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -58,6 +58,19 @@
     | {f"port {port[:9]!r}": _replace(INSTANCE, "addr", json.dumps(f"127.0.0.1:{port}").encode()) for port in ODD_PORTS}
     | {f"host {host[:14]!r}": _replace(INSTANCE, "addr", json.dumps(f"{host}:80").encode()) for host in ODD_HOSTS}
 )
+ODD_MEMBERS = (
+    {name: raw for name, raw in ODD_VALUES.items()}
+    | {
+        f"{field}: {name}": _replace(MEMBER, field, raw)
+        for field in ("peerHost", "peerPort", "domain")
+        for name, raw in ODD_VALUES.items()
+    }
+    | {
+        f"port {port[:9]!r}": _replace(MEMBER, "peerPort", port.encode())
+        for port in ("0", "-1", "65536", "true", "80.5")
+    }
+    | {f"host {host[:14]!r}": _replace(MEMBER, "peerHost", json.dumps(host).encode()) for host in ODD_HOSTS}
+)
 
 
 def _page(odd: bytes, good: dict, *, is_list: bool = True) -> bytes:
@@ -85,6 +98,20 @@
     assert decoded[1] is None and None not in (decoded[0], decoded[2])
 
 
+@pytest.mark.parametrize("odd", ODD_MEMBERS.values(), ids=ODD_MEMBERS)
+def test_odd_member_entry_names_no_vm(odd):
+    """Guards against VMs that stop following the members, or whose datagram socket closes, because of one entry."""
+    decoded = [objects.decode_member(stored) for stored in objects.decode_page(_page(odd, MEMBER), 0).present]
+    assert decoded[1] is None and None not in (decoded[0], decoded[2])
+
+
+@pytest.mark.parametrize("odd", ODD_VALUES.values(), ids=ODD_VALUES)
+def test_member_with_an_odd_capacity_has_none(odd):
+    """Guards against a member that is left out because of a field that it can do without."""
+    page = objects.decode_page(_page(_replace(MEMBER, "capacity", odd), MEMBER), 0)
+    assert objects.decode_member(page.present[1]).capacity is None
+
+
 @pytest.mark.parametrize("depth", [3, 60, 61, 62, 63, 64, 65, 100, 900, 2000])
 def test_nesting_is_cut_at_the_limit_only(depth):
     """Values up to the maximum depth are kept, and deeper ones lose what is below it."""
