Replace no primaries of services that nobody configured

Seen: three entries of instances of a service that no configuration names, as another writer may leave them, make a VM claim the service's promotion every 0.6 s from the fourth second on, without end: two calls to the store and a connection to each named address per attempt, and a line of the log each.

Cause: the failover watched the primaries of all services that entries name.

Change: it watches those that the configuration names, too.

Measured: test_unknown_service_gets_no_primary fails without the change (a duty of the unknown service is claimed) and passes with it; tests of promotions pass.

--- a/src/currantlead/sessions/daemon.py
+++ b/src/currantlead/sessions/daemon.py
@@ -173,6 +173,7 @@
                 config.promotions,
                 vm=config.vm,
                 members=self._responsive_vms,
+                configured=lambda: self.configuration.services,
                 count_outcome=lambda outcome: self.metrics.count("promotions", result=outcome),
                 on_stage=self.refusals.record_stage,
             )
--- a/src/currantlead/sessions/failover/succession.py
+++ b/src/currantlead/sessions/failover/succession.py
@@ -9,7 +9,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from currantlead import errors, logs
 from currantlead.platform import calls, lines, objects
@@ -52,6 +52,7 @@
         promotions: Address that takes promotion calls.
         vm: Name of this VM.
         members: Returns the VMs that may promote, this one included.
+        configured: Returns the services of the configuration; instances of others are not those of the operator.
         count_outcome: Called with the outcome of each attempt, for metrics.
         on_stage: Called with the service when its promotion reaches a stage, on this VM or on another one.
     """
@@ -65,6 +66,7 @@
         *,
         vm: str,
         members: Callable[[], list[str]],
+        configured: Callable[[], Collection[str]],
         count_outcome: Callable[[str], None] = lambda outcome: None,
         on_stage: Callable[[str, promotion_progress.Stage], None] = lambda service, stage: None,
     ):
@@ -74,6 +76,7 @@
         claims.on_claimed = self._handle_claim
         self._vm = vm
         self._members = members
+        self._configured = configured
         self._count_outcome = count_outcome
         self._on_stage = on_stage
         self._promotion_client = http.HttpClient(promotions)
@@ -86,12 +89,16 @@
         self._promotion_client.close()
 
     def _handle_claim(self, duty: str) -> None:
-        if duty in self._fleet.services():
+        if duty in self._services():
             self._on_stage(duty, promotion_progress.Stage.CLAIMED)
 
+    def _services(self) -> set[str]:
+        """Return the services whose primaries are watched."""
+        return self._fleet.services().intersection(self._configured())
+
     def check(self) -> None:
         """Start the promotions that are due; called periodically."""
-        for service in self._fleet.services():
+        for service in self._services():
             if service not in self._tasks and self._is_due(service):
                 self._tasks[service] = asyncio.get_running_loop().create_task(self._replace_primary(service))
 
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -1,5 +1,6 @@
 """Entries that other writers left among those of instances and members: they name nothing, and the others hold."""
 
+import asyncio
 import json
 
 import pytest
@@ -8,6 +9,7 @@
 
 from currantlead.platform import json_documents, objects
 from currantlead.sessions import daemon
+from currantlead.sessions.decisions import election
 from tests import session_bed
 from tests.standins import object_store
 
@@ -179,3 +181,13 @@
         assert (await caller.query("WRITE a1 x"))[0].startswith("DONE i-1")
         bed.register_instance("i-1", state="draining")
         await session_bed.wait_until(lambda: bed.service.primary != "i-1", timeout_s=6.0)
+
+
+async def test_unknown_service_gets_no_primary(monkeypatch):
+    """Guards against claims of a duty, each a write to the store, every 0.6 s for a service that nobody configured."""
+    monkeypatch.setattr(election, "ABSENCE_TIMEOUT_S", 0.2)
+    async with session_bed.Bed() as bed:
+        bed.store.put(objects.INSTANCES, "odd", INSTANCE | {"service": "svc9"})
+        await session_bed.wait_until(lambda: bed.daemon.fleet.get("odd"))
+        await asyncio.sleep(0.5)
+        assert not bed.store.objects.get(objects.DUTIES)
