Let the soak rest inside transactions while holders restart

A commit with writes of two operations counts as 'mixed' in all runs. The daemons' processes move to a module of their own.

--- a/tests/process/test_session_soak.py
+++ b/tests/process/test_session_soak.py
@@ -12,6 +12,7 @@
     "stale_reads",
     "false_not_run",
     "torn",
+    "mixed",
     "over_rate",
     "after_revocation",
     "after_evacuation",
@@ -32,6 +33,9 @@
 FLEET_SEED = 401
 """A power cut, a reload, lost answers, and a key revoked while a daemon cannot reach the store."""
 
+REST_SEED = 4
+"""Daemons killed repeatedly while sessions rest in transactions on connections of holders."""
+
 STORE_SEEDS = [
     (2, "lose_watches", "copies of the store's objects grew old: 155 statements ran late in evacuated domains"),
     (633, "restore_store", "revisions of two eras were compared: a key revoked after a restoration worked on"),
@@ -75,3 +79,13 @@
     assert not {name: result[name] for name in VIOLATIONS if result[name]}, (cause, result)
     assert fault in result["faults"]
     assert result["completed"] > 0
+
+
+@pytest.mark.processes
+@pytest.mark.xdist_group("processes-3")
+def test_transactions_stay_apart_while_their_holders_restart():
+    """Guards against statements that run in another caller's transaction after a restart of its holder."""
+    result = _run_soak(REST_SEED, "--seconds", "14", "--rests")
+    assert not {name: result[name] for name in VIOLATIONS if result[name]}, result
+    assert "kill_repeatedly" in result["faults"]
+    assert result["completed"] > 0
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -34,6 +34,7 @@
         stale_reads: Reads that returned an older value than the last acknowledged write of their session.
         false_not_run: Writes reported as not run that were committed.
         torn: Transactions of which only one of two writes was committed.
+        mixed: Commits with writes of more than one operation.
         over_rate: Time windows with more operations of the second organisation than its limit allows.
         after_revocation: Operations that ran although their API key had been revoked.
         after_evacuation: Statements that ran in an evacuated failure domain after the bound; counted only in runs whose
@@ -52,6 +53,7 @@
     stale_reads: int = 0
     false_not_run: int = 0
     torn: int = 0
+    mixed: int = 0
     over_rate: int = 0
     after_revocation: int = 0
     after_evacuation: int = 0
@@ -61,7 +63,7 @@
 
     def is_consistent(self) -> bool:
         """Return whether no guarantee was violated."""
-        violations = (self.lost, self.doubled, self.stale_reads, self.false_not_run, self.torn)
+        violations = (self.lost, self.doubled, self.stale_reads, self.false_not_run, self.torn, self.mixed)
         return not any(
             (*violations, self.over_rate, self.after_revocation, self.after_evacuation, self.usage_conflicts)
         )
@@ -123,6 +125,8 @@
             result.stale_reads += 1
             result.faults.append(f"stale read {request}: got {found}, expected {written} or newer")
     result.torn = sum((first in committed) != (second in committed) for first, second in record.transactions)
+    # The requests of a transaction differ in their last letter only.
+    result.mixed = sum(len({request.rstrip("ab") for request, _, _ in commit.writes}) > 1 for commit in service.log)
     result.doubled = sum(count > 1 for count in committed.values())
     result.lost = sum(request not in committed for request, _, _ in record.acknowledged)
     result.false_not_run = sum(request in committed for request in record.not_run)
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -23,6 +23,8 @@
 STORE_FAULTS: dict[str, FaultFunction] = {}
 """Faults of the store's state beside planned changes. None of them keeps a daemon from the store for long, so that each
 change must be in force within its bound."""
+REST_FAULTS: dict[str, FaultFunction] = {}
+"""Faults beside sessions that rest inside transactions: daemons end and are back before the rest is over."""
 FAULTS: dict[str, FaultFunction] = {}
 """All faults by name."""
 
@@ -74,19 +76,19 @@
     await _apply_fault(soak, dropped, dropped)
 
 
-@register("reset")
+@register("reset", SINGLE_FAULTS, FLEET_FAULTS, REST_FAULTS)
 async def reset(soak: "users_demo.Soak") -> None:
     """Reset the connections through one proxy."""
     soak.random.choice(list(soak.proxies.values())).reset()
 
 
-@register("kill", SINGLE_FAULTS, FLEET_FAULTS, STORE_FAULTS)
+@register("kill", SINGLE_FAULTS, FLEET_FAULTS, STORE_FAULTS, REST_FAULTS)
 async def kill(soak: "users_demo.Soak") -> None:
     """Kill a daemon."""
     soak.random.choice(soak.vms).signal(signal.SIGKILL)
 
 
-@register("stop", SINGLE_FAULTS, FLEET_FAULTS, STORE_FAULTS)
+@register("stop", SINGLE_FAULTS, FLEET_FAULTS, STORE_FAULTS, REST_FAULTS)
 async def stop(soak: "users_demo.Soak") -> None:
     """Shut a daemon down gracefully."""
     soak.random.choice(soak.vms).signal(signal.SIGTERM)
@@ -110,13 +112,13 @@
     instance.unresponsive = False
 
 
-@register("lag", SINGLE_FAULTS, FLEET_FAULTS, STORE_FAULTS)
+@register("lag", SINGLE_FAULTS, FLEET_FAULTS, STORE_FAULTS, REST_FAULTS)
 async def lag(soak: "users_demo.Soak") -> None:
     """Set random replication lags."""
     soak.service.lag_s = {name: soak.random.uniform(0.1, 3.0) for name in soak.service.instances}
 
 
-@register("lose_answers", SINGLE_FAULTS, FLEET_FAULTS, STORE_FAULTS)
+@register("lose_answers", SINGLE_FAULTS, FLEET_FAULTS, STORE_FAULTS, REST_FAULTS)
 async def lose_answers(soak: "users_demo.Soak") -> None:
     """Drop the next responses of an instance."""
     soak.random.choice(list(soak.service.instances.values())).lose_answers = soak.random.randrange(1, 4)
@@ -206,7 +208,16 @@
     soak.register(name)
 
 
-@register("power_cut", FLEET_FAULTS)
+@register("kill_repeatedly", REST_FAULTS)
+async def kill_repeatedly(soak: "users_demo.Soak") -> None:
+    """Kill a daemon each time that it has run for a while."""
+    vm = soak.random.choice(soak.vms)
+    for _ in range(4):
+        vm.signal(signal.SIGKILL)
+        await asyncio.sleep(soak.random.uniform(0.8, 2.0))
+
+
+@register("power_cut", FLEET_FAULTS, REST_FAULTS)
 async def power_cut(soak: "users_demo.Soak") -> None:
     """Kill all daemons at once."""
     for vm in soak.vms:
--- a/tools/users_demo.py
+++ b/tools/users_demo.py
@@ -9,30 +9,27 @@
 daemons are also killed at once or shut down in turn, settings are reloaded, and the key is revoked while a daemon
 cannot reach the store. With ``--store``, the faults are those of the store's state beside planned changes: it is
 restored from copies and drops its history unannounced, while failure domains are evacuated, the primary drains, the
-key is revoked, and daemons restart.
+key is revoked, and daemons restart. With ``--rests``, some sessions rest inside transactions for longer than a daemon
+takes to restart, and most faults end daemons.
 """
 
 import argparse
 import asyncio
 import dataclasses
 import json
-import os
 import pathlib
 import random
-import signal
 import sys
 import tempfile
 import time
-import urllib.request
 from collections.abc import Iterable
 from typing import Any
 
 import rich.console
 
-from currantlead.platform import settings_file
 from tests import session_bed
 from tests.standins import line_instance, loopback_proxy, object_store
-from tools import soak_checks, soak_faults
+from tools import daemon_processes, soak_checks, soak_faults
 
 VMS = 4
 SESSIONS = 24
@@ -45,119 +42,30 @@
 LIMITED_ORGANISATION = "dyers"
 LIMITED_KEY = "key-of-dyers"
 LIMITED_SESSIONS = 4
+TRANSACTION_SHARE = 0.15
+"""Share of transactions among the operations of a session."""
+RESTING_SESSIONS = 12
+RESTING_CONNECTIONS = 8
+"""Maximum number of connections to an instance beside sessions that rest: several for each holder."""
+MAX_REST_S = 2.6
+"""Longest rest inside a transaction; transactions are rolled back after 3 s without a statement."""
 NOT_RUN_CODES = {"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "OVERLOAD"}
 """Error codes which guarantee that the operation has no effect."""
 _console = rich.console.Console(stderr=True)
 
-SETTINGS = """
-node = "{vm}"
-ip = "127.0.0.1"
-zone = "{domain}"
-internalPorts = [{peers}, {peers}]
-[zones]
-z1 = "r1"
-z2 = "r2"
-z3 = "r3"
-[listen]
-front = "127.0.0.1:{callers}"
-ready = "127.0.0.1:{readiness}"
-[bounds]
-graceS = 6
-[platform]
-addr = "127.0.0.1:{store}"
-[cloudApi]
-addr = "127.0.0.1:{store}"
-"""
-
-LOAD_SETTINGS = """duties = ["promotion", "usage_report"]
-[loadManagement]
-enabled = true
-"""
-"""Settings that switch usage reports and all decisions under load on; they follow those of ``SETTINGS``."""
-
-
-class DaemonProcess:
-    """A daemon in a separate process that is restarted whenever it exits."""
-
-    def __init__(self, name: str, domain: str, store_port: int, directory: pathlib.Path, more_settings: str = ""):
-        self.name = name
-        self.port = session_bed.free_port()
-        self.peer_port = session_bed.free_port()
-        self._readiness_port = session_bed.free_port()
-        self._metrics_port = session_bed.free_port()
-        self._settings = directory / f"{name}.toml"
-        self._settings.write_text(
-            SETTINGS.format(
-                vm=name,
-                domain=domain,
-                peers=self.peer_port,
-                callers=self.port,
-                readiness=self._readiness_port,
-                store=store_port,
-            )
-            + more_settings
-        )
-        self._log = (directory / f"{name}.log").open("ab")
-        self.process: asyncio.subprocess.Process | None = None
-        self._supervisor: asyncio.Task[None] | None = None
-
-    def start(self, variables: dict[str, str] | None = None) -> None:
-        """Start supervising the process, with additional environment variables."""
-        self._supervisor = asyncio.create_task(self._supervise(variables or {}))
-
-    async def _supervise(self, variables: dict[str, str]) -> None:
-        while True:
-            environment = (
-                os.environ
-                | variables
-                | {
-                    settings_file.PATH_VARIABLE: str(self._settings),
-                    settings_file.METRICS_PORT_VARIABLE: str(self._metrics_port),
-                }
-            )
-            self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "currantlead.sessions", env=environment, stdout=self._log, stderr=self._log
-            )
-            await self.process.wait()
-            await asyncio.sleep(0.3)
-
-    async def wait_until_ready(self) -> None:
-        """Wait until the daemon accepts sessions; cancel it with a time-out."""
-        while not await asyncio.to_thread(self._is_ready):  # noqa: ASYNC110
-            await asyncio.sleep(0.1)
-
-    def _is_ready(self) -> bool:
-        try:
-            with urllib.request.urlopen(f"http://127.0.0.1:{self._readiness_port}/", timeout=1.0) as response:
-                return response.status == 200
-        except OSError:
-            return False
-
-    def change_settings(self, old: str, new: str) -> None:
-        """Replace a text in the settings file."""
-        self._settings.write_text(self._settings.read_text().replace(old, new))
-
-    def signal(self, number: signal.Signals) -> None:
-        """Send a signal to the process if it is running."""
-        if self.process is not None and self.process.returncode is None:
-            self.process.send_signal(number)
-
-    async def stop(self) -> None:
-        """Kill the process and stop supervising it."""
-        if self._supervisor is not None:
-            self._supervisor.cancel()
-        self.signal(signal.SIGCONT)
-        self.signal(signal.SIGKILL)
-        if self.process is not None:
-            await self.process.wait()
-        self._log.close()
-
 
 class Soak:
     """One run of the soak test."""
 
     def __init__(
-        self, seed: int, seconds: float, directory: pathlib.Path, fault_names: Iterable[str], more_settings: str = ""
+        self,
+        seed: int,
+        seconds: float,
+        directory: pathlib.Path,
+        fault_names: Iterable[str],
+        more_settings: str = "",
+        *,
+        rests: bool = False,
     ):
         """Create a run.
 
@@ -167,7 +75,11 @@
             directory: Directory for settings and logs.
             fault_names: Names of the faults to draw from; a seed stands for the same run only with the same names.
             more_settings: Lines added to the daemons' settings files.
+            rests: Whether there are also sessions that rest inside transactions.
         """
+        self._resting_sessions = RESTING_SESSIONS if rests else 0
+        # A holder that repeated its numbers would repeat one during a rest only if few transactions used them up.
+        self._transaction_share = 0.0 if rests else TRANSACTION_SHARE
         self._more_settings = more_settings
         self._callers: list[session_bed.Caller] = []
         self.result = soak_checks.Result(seed)
@@ -177,11 +89,12 @@
         self._directory = directory
         self.record = soak_checks.Record()
         self.store = object_store.ObjectStore()
-        self._service_limit = FEW_CONNECTIONS if seed % 2 else 16
-        instance_limit = FEW_CONNECTIONS if seed % 2 else 24
+        few_connections = RESTING_CONNECTIONS if rests else FEW_CONNECTIONS
+        self._service_limit = few_connections if seed % 2 or rests else 16
+        instance_limit = few_connections if seed % 2 or rests else 24
         self.service = line_instance.Service(session_bed.SERVICE, ["i-1", "i-2", "i-3"], max_connections=instance_limit)
         self.proxies: dict[str, loopback_proxy.LoopbackProxy] = {}
-        self.vms: list[DaemonProcess] = []
+        self.vms: list[daemon_processes.DaemonProcess] = []
         self._end = 0.0
         self._version = 1
         self._configuration: dict[str, Any] = {}
@@ -199,7 +112,11 @@
         for number in range(VMS):
             vm = f"vm-{number}"
             store_port = await self._add_proxy(f"store of {vm}", self.store.port)
-            self.vms.append(DaemonProcess(vm, f"z{number % 3 + 1}", store_port, self._directory, self._more_settings))
+            self.vms.append(
+                daemon_processes.DaemonProcess(
+                    vm, f"z{number % 3 + 1}", store_port, self._directory, self._more_settings
+                )
+            )
             await self._add_proxy(f"peers of {vm}", self.vms[-1].peer_port)
         for vm in self.vms:
             vm.start()
@@ -212,6 +129,7 @@
                 self._run_session(number, random.Random(f"{self.result.seed}/{number}")) for number in range(SESSIONS)
             ]
             sessions += [self._run_limited_session(number) for number in range(LIMITED_SESSIONS)]
+            sessions += [self._run_resting_session(number) for number in range(self._resting_sessions)]
             await asyncio.gather(self._inject_faults(), *sessions)
         finally:
             for caller in self._callers:
@@ -301,7 +219,7 @@
                 request = f"r{number}x{sequence}"
                 self.result.sent += 1
                 async with asyncio.timeout(4.0):
-                    if rng.random() < 0.15:
+                    if rng.random() < self._transaction_share:
                         written = await self._write_transaction(
                             caller, request, f"item{number}", f"v{sequence}", written
                         )
@@ -339,6 +257,33 @@
                     caller.close()
                 caller = None
 
+    async def _run_resting_session(self, number: int) -> None:
+        """Write in transactions, with a rest between the two writes of each."""
+        rng = random.Random(f"{self.result.seed}/resting/{number}")
+        caller, sequence = None, 0
+        while time.monotonic() < self._end:
+            await asyncio.sleep(MEAN_PAUSE_S)
+            try:
+                if caller is None:
+                    caller = await self._connect(rng)
+                    continue
+                sequence += 1
+                self.result.sent += 1
+                async with asyncio.timeout(MAX_REST_S + 4.0):
+                    await self._write_transaction(
+                        caller,
+                        f"resting{number}x{sequence}",
+                        f"resting{number}",
+                        f"v{sequence}",
+                        None,
+                        rest_s=rng.uniform(0.0, MAX_REST_S),
+                    )
+            except (OSError, TimeoutError, IndexError, asyncio.IncompleteReadError):
+                self.result.may_have_run += 1
+                if caller is not None:
+                    caller.close()
+                caller = None
+
     async def _connect(self, rng: random.Random, key: str = session_bed.KEY) -> session_bed.Caller | None:
         vm = rng.choice(self.vms)
         async with asyncio.timeout(1.0):
@@ -375,9 +320,16 @@
         return None
 
     async def _write_transaction(
-        self, caller: session_bed.Caller, request: str, item: str, data: str, written: str | None
+        self,
+        caller: session_bed.Caller,
+        request: str,
+        item: str,
+        data: str,
+        written: str | None,
+        *,
+        rest_s: float = 0.0,
     ) -> str | None:
-        """Write two items in one transaction; either both or none must be committed."""
+        """Write two items in one transaction, with a rest between; either both or none must be committed."""
         self.record.transactions.append((f"{request}a", f"{request}b"))
         answers = []
         for text in ("BEGIN", f"{request}a WRITE {item} {data}", f"{request}b WRITE {item}-pair {data}", "COMMIT"):
@@ -387,6 +339,8 @@
             answers.append((await caller.request(f"QUERY {request_id} {statement}"))[0])
             if not answers[-1].startswith("DONE"):
                 break
+            if len(answers) == 2:
+                await asyncio.sleep(rest_s)
         if len(answers) == 4 and answers[-1].startswith("DONE"):
             self.result.completed += 1
             self.record.acknowledged += [(f"{request}a", item, data), (f"{request}b", f"{item}-pair", data)]
@@ -432,15 +386,19 @@
         "--store", action="store_true", help="inject faults of the store's state beside planned changes"
     )
     parser.add_argument("--load", action="store_true", help="switch on usage reports and all decisions under load")
+    parser.add_argument("--rests", action="store_true", help="let some sessions rest inside transactions")
     options = parser.parse_args()
     faults = soak_faults.FLEET_FAULTS if options.fleet else soak_faults.SINGLE_FAULTS
+    if options.rests:
+        faults = soak_faults.REST_FAULTS
     if options.store:
         faults = soak_faults.STORE_FAULTS
     with tempfile.TemporaryDirectory() as temporary:
         directory = options.keep or pathlib.Path(temporary)
         directory.mkdir(parents=True, exist_ok=True)
-        more_settings = LOAD_SETTINGS if options.load else ""
-        result = asyncio.run(Soak(options.seed, options.seconds, directory, faults, more_settings).run())
+        more_settings = daemon_processes.LOAD_SETTINGS if options.load else ""
+        soak = Soak(options.seed, options.seconds, directory, faults, more_settings, rests=options.rests)
+        result = asyncio.run(soak.run())
     print(json.dumps(dataclasses.asdict(result)))
     return 0 if result.is_consistent() else 1
 
