--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -57,7 +57,10 @@
         for field in ("service", "addr", "zone", "slots", "state", "dbRole", "born")
         for name, raw in ODD_VALUES.items()
     }
-    | {f"port {port[:9]!r}": _replace(INSTANCE, "addr", json.dumps(f"127.0.0.1:{port}").encode()) for port in ODD_PORTS}
+    | {
+        f"port {port[:35]!r}": _replace(INSTANCE, "addr", json.dumps(f"127.0.0.1:{port}").encode())
+        for port in ODD_PORTS
+    }
     | {f"host {host[:14]!r}": _replace(INSTANCE, "addr", json.dumps(f"{host}:80").encode()) for host in ODD_HOSTS}
 )
 ODD_MEMBERS = (
