--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -105,7 +105,9 @@
 
 @register("silence")
 async def silence(soak: "users_demo.Soak") -> None:
-    """Make the primary temporarily unresponsive."""
+    """Make the primary temporarily unresponsive; during a promotion there is none."""
+    if not soak.service.primary:
+        return
     instance = soak.service.instances[soak.service.primary]
     instance.unresponsive = True
     await asyncio.sleep(soak.random.uniform(1.0, 3.0))
@@ -200,8 +202,10 @@
 
 @register("drain_primary", SINGLE_FAULTS, FLEET_FAULTS, STORE_FAULTS)
 async def drain_primary(soak: "users_demo.Soak") -> None:
-    """Mark the primary as draining for 2 s."""
+    """Mark the primary as draining for 2 s; during a promotion there is none."""
     name = soak.service.primary
+    if not name:
+        return
     entry = soak.store.objects["servers"][name]["spec"]
     soak.store.put("servers", name, entry | {"state": "draining"})
     await asyncio.sleep(2.0)
