Accept the IP addresses of the settings in the entries of VMs

Found by reading this change again: the settings accept any IP address as a VM's own, and its entry was ignored by every VM, itself included, unless it is an IPv4 address. Since the entries are checked, a VM with an IPv6 address would have stayed alone without a word.

Entries are checked by ipaddress now, as the settings are.

--- a/src/currantlead/platform/objects.py
+++ b/src/currantlead/platform/objects.py
@@ -1,7 +1,7 @@
 """Codec of the store's objects: configuration, instances, evacuations, members, duties, usage."""
 
 import dataclasses
-import socket
+import ipaddress
 from collections.abc import Mapping
 from typing import Any
 
@@ -278,11 +278,13 @@
 
 
 def _expect_host(value: Any) -> str:
-    """Return an IPv4 address; host names are not looked up on the platform."""
+    """Return an IP address without a scope; host names and scopes would be looked up."""
     try:
-        socket.inet_pton(socket.AF_INET, _expect_type(value, str))
-    except OSError:
-        raise ValueError(f"{value!r} is not an IPv4 address") from None
+        ipaddress.ip_address(_expect_type(value, str))
+    except ValueError:
+        raise ValueError(f"{value!r} is not an IP address") from None
+    if "%" in value:
+        raise ValueError(f"{value!r} has a scope")
     return value
 
 
