Say what is wrong with an entry, and that values were replaced

Found by reading this change again: a value that could not be decoded became null without a log line, so that the line about its entry blamed a missing value; messages about ports and numbers had no value, and cutting a message at 200 characters could cut its reason. Messages name the field, the shortened value and the bound now, and replaced values are logged with the size of the document and the decoder's reason. A property also draws deeply nested documents.

--- a/src/currantlead/platform/json_documents.py
+++ b/src/currantlead/platform/json_documents.py
@@ -5,14 +5,18 @@
 from collections.abc import Iterator
 from typing import Any
 
+from currantlead import logs
+
 MAX_DEPTH = 64
-"""Maximum nesting of arrays and objects; the platform's documents need eight levels. Values close to the interpreter's
-recursion limit can be decoded in some places and not be encoded or compared in others."""
+"""Maximum nesting of arrays and objects. Values close to the interpreter's recursion limit can be decoded in some
+places and not be encoded or compared in others."""
 MAX_NUMBER_LENGTH = 640
 """Maximum length of a number that is kept in a document that cannot be decoded as it is: the interpreter converts
 integers of up to this many digits under any setting."""
 
-# Possessive quantifiers, and alternatives that match at the end of the text, too, let a search take linear time.
+_log = logs.part("platform")
+
+# Possessive quantifiers, and the match at the end of the text, keep each search linear.
 _STRING = r'"[^"\\]*+(?:\\.?[^"\\]*+)*+"?'
 _BRACKETS = re.compile(rf'(?:[^"\[\]{{}}]++|{_STRING})*+([\[{{]++|[\]}}]++|\Z)', re.DOTALL)
 _STRING_OR_NUMBER = re.compile(rf"({_STRING})|-?[0-9][0-9.eE+-]*+", re.DOTALL)
@@ -37,9 +41,10 @@
         document = json.loads(body)
         if body.count(b"[") + body.count(b"{") <= MAX_DEPTH or not _is_too_deep(document):
             return document
-    except (ValueError, RecursionError):
-        # The whole document may be unreadable because of one value.
-        pass
+        reason = f"nested deeper than {MAX_DEPTH} levels"
+    except (ValueError, RecursionError) as error:
+        reason = str(error)
+    _log.warning("replacing values that cannot be read in a document of {} bytes: {}", len(body), reason)
     text = "".join(_cut_nesting(body.decode("utf-8", "surrogateescape")))
     return json.loads(_STRING_OR_NUMBER.sub(_replace_long_number, text), strict=False)
 
--- a/src/currantlead/platform/objects.py
+++ b/src/currantlead/platform/objects.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import ipaddress
+import reprlib
 from collections.abc import Mapping
 from typing import Any
 
@@ -28,8 +29,9 @@
 
 MAX_COUNT = 1 << 53
 """Bound of the numbers in entries: from here on, decoders that read JSON numbers as doubles lose digits."""
-MAX_LOGGED_ERROR = 200
-"""Maximum length of what is logged about a malformed entry, which may be as large as the store permits."""
+MAX_PORT = 65535
+"""Highest port of TCP and UDP."""
+_ROLES = tuple(role.value for role in model.Role)
 
 OK, CREATED = 200, 201
 NOT_FOUND, CONFLICT, HISTORY_GONE = 404, 409, 410
@@ -237,23 +239,20 @@
 
     Programs other than instances may write entries. An entry with a missing or malformed field is logged and ignored.
     """
-    entry = stored.value
     try:
-        host, _, port = _expect_type(entry["addr"], str).rpartition(":")
-        state = _expect_type(entry["state"], str)
-        if state not in ("ready", "draining"):
-            raise ValueError(f"unknown state {state!r}")
+        entry = _expect_type("spec", stored.value, dict)
+        host, port = _decode_address("addr", entry["addr"])
         return model.Instance(
-            id=_expect_name(stored.name),
-            service=_expect_name(entry["service"]),
-            host=_expect_host(host),
-            port=_expect_port(int(port) if port.isascii() and port.isdigit() else None),
-            domain=_expect_name(entry["zone"]),
-            draining=state == "draining",
-            role=model.Role(_expect_type(entry["dbRole"], str)),
+            id=_expect_name("name", stored.name),
+            service=_expect_name("service", entry["service"]),
+            host=host,
+            port=port,
+            domain=_expect_name("zone", entry["zone"]),
+            draining=_expect_choice("state", entry["state"], ("ready", "draining")) == "draining",
+            role=model.Role(_expect_choice("dbRole", entry["dbRole"], _ROLES)),
             revision=stored.revision,
-            started_at_ms=_expect_count(entry.get("born", 0)),
-            slots=_expect_count(entry.get("slots", 0)),
+            started_at_ms=_expect_count("born", entry.get("born", 0)),
+            slots=_expect_count("slots", entry.get("slots", 0)),
         )
     except (KeyError, TypeError, ValueError) as error:
         _log_malformed("instance", stored, error)
@@ -261,43 +260,59 @@
 
 
 def _log_malformed(subject: str, stored: StoredObject, error: Exception) -> None:
-    _log.warning("ignoring malformed {} entry {!r}: {}", subject, stored.name, repr(error)[:MAX_LOGGED_ERROR])
+    _log.warning("ignoring malformed {} entry {}: {!r}", subject, reprlib.repr(stored.name), error)
 
 
-def _expect_type(value: Any, kind: type) -> Any:
+# The values in the messages are shortened, because an entry may be as large as the store permits.
+
+
+def _expect_type(field: str, value: Any, kind: type) -> Any:
     if not isinstance(value, kind) or isinstance(value, bool):
-        raise TypeError(f"expected {kind.__name__}, got {type(value).__name__}")
+        raise TypeError(f"{field}: expected {kind.__name__}, got {reprlib.repr(value)}")
     return value
 
 
-def _expect_name(value: Any) -> str:
+def _expect_name(field: str, value: Any) -> str:
     """Return a name that can be a field of the line protocol."""
-    if not _expect_type(value, str).isprintable() or not value or " " in value:
-        raise ValueError(f"{value!r} is not a name")
+    if not _expect_type(field, value, str).isprintable() or not value or " " in value:
+        raise ValueError(f"{field}: {reprlib.repr(value)} is empty, or has blanks or characters that cannot be printed")
+    return value
+
+
+def _expect_choice(field: str, value: Any, choices: tuple[str, ...]) -> str:
+    if _expect_type(field, value, str) not in choices:
+        raise ValueError(f"{field}: expected one of {', '.join(choices)}, got {reprlib.repr(value)}")
     return value
 
 
-def _expect_host(value: Any) -> str:
+def _decode_address(field: str, value: Any) -> tuple[str, int]:
+    host, _, port = _expect_type(field, value, str).rpartition(":")
+    if not (port.isascii() and port.isdigit() and len(port) <= 5):
+        raise ValueError(f"{field}: port {reprlib.repr(port)} is not between 1 and {MAX_PORT}")
+    return _expect_host(field, host), _expect_port(field, int(port))
+
+
+def _expect_host(field: str, value: Any) -> str:
     """Return an IP address without a scope; host names and scopes would be looked up."""
     try:
-        ipaddress.ip_address(_expect_type(value, str))
+        ipaddress.ip_address(_expect_type(field, value, str))
     except ValueError:
-        raise ValueError(f"{value!r} is not an IP address") from None
+        raise ValueError(f"{field}: {reprlib.repr(value)} is not an IP address") from None
     if "%" in value:
-        raise ValueError(f"{value!r} has a scope")
+        raise ValueError(f"{field}: {reprlib.repr(value)} has a scope")
     return value
 
 
-def _expect_port(value: Any) -> int:
-    if not 0 < _expect_type(value, int) < 1 << 16:
-        raise ValueError("port is not between 1 and 65535")
+def _expect_port(field: str, value: Any) -> int:
+    if not 0 < _expect_type(field, value, int) <= MAX_PORT:
+        raise ValueError(f"{field}: port {reprlib.repr(value)} is not between 1 and {MAX_PORT}")
     return value
 
 
-def _expect_count(value: Any) -> int:
-    """Return a natural number that fits the computations of this program and any field of the frames between VMs."""
-    if not 0 <= _expect_type(value, int) < MAX_COUNT:
-        raise ValueError(f"number is not between 0 and {MAX_COUNT}")
+def _expect_count(field: str, value: Any) -> int:
+    """Return a natural number below ``MAX_COUNT``."""
+    if not 0 <= _expect_type(field, value, int) < MAX_COUNT:
+        raise ValueError(f"{field}: {reprlib.repr(value)} is not between 0 and {MAX_COUNT - 1}")
     return value
 
 
@@ -309,13 +324,13 @@
 
 def decode_member(stored: StoredObject) -> model.Member | None:
     """Decode a VM; return None if the entry is malformed, which is logged."""
-    value = stored.value
     try:
+        value = _expect_type("spec", stored.value, dict)
         return model.Member(
-            _expect_name(stored.name),
-            _expect_host(value["peerHost"]),
-            _expect_port(value["peerPort"]),
-            _expect_name(value["domain"]),
+            _expect_name("name", stored.name),
+            _expect_host("peerHost", value["peerHost"]),
+            _expect_port("peerPort", value["peerPort"]),
+            _expect_name("domain", value["domain"]),
             _decode_capacity(stored.name, value.get("capacity")),
         )
     except (KeyError, TypeError, ValueError) as error:
@@ -329,7 +344,9 @@
         return None
     # A comparison with NaN fails, too.
     if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 < value < MAX_COUNT:
-        _log.warning("ignoring malformed capacity of member {!r}", name)
+        _log.warning(
+            "ignoring capacity {} of member {}, expected a number from 0 to {}", reprlib.repr(value), name, MAX_COUNT
+        )
         return None
     return float(value)
 
--- a/src/currantlead/sessions/failover/succession.py
+++ b/src/currantlead/sessions/failover/succession.py
@@ -52,7 +52,7 @@
         promotions: Address that takes promotion calls.
         vm: Name of this VM.
         members: Returns the VMs that may promote, this one included.
-        configured: Returns the services of the configuration; instances of others are not those of the operator.
+        configured: Returns the services of the configuration; entries of instances may name others.
         count_outcome: Called with the outcome of each attempt, for metrics.
         on_stage: Called with the service when its promotion reaches a stage, on this VM or on another one.
     """
--- a/src/currantlead/sessions/instances/holders.py
+++ b/src/currantlead/sessions/instances/holders.py
@@ -85,7 +85,7 @@
         self._samples = samples
         self._path_of = path_of
         self._transactions: dict[int, _HeldTransaction] = {}
-        # Other VMs still use the numbers that an earlier process of this VM gave out.
+        # Other VMs may still use numbers of an earlier process, which must not stand for new transactions.
         self._numbers = itertools.count(secrets.randbits(62))
         self._orders_running = 0
         self._last_check_at = clock.now()
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -160,11 +160,14 @@
     assert first == last == value
 
 
-@given(st.binary(max_size=200) | st.text(alphabet='[]{}",:\\a1-e', max_size=200).map(str.encode))
-def test_any_bytes_give_a_value_or_a_value_error_property(body):
+@given(
+    st.sampled_from([0, json_documents.MAX_DEPTH - 2, 5000]),
+    st.binary(max_size=200) | st.text(alphabet='[]{}",:\\a1-e', max_size=200).map(str.encode),
+)
+def test_any_bytes_give_a_value_or_a_value_error_property(depth, body):
     """Guards against documents whose decoding raises anything but the error that callers handle."""
     try:
-        json_documents.decode(body)
+        json_documents.decode(b"[" * depth + body + b"]" * depth)
     except ValueError:
         return
 
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -24,7 +24,7 @@
 """Faults of the store's state beside planned changes. None of them keeps a daemon from the store for long, so that each
 change must be in force within its bound."""
 REST_FAULTS: dict[str, FaultFunction] = {}
-"""Faults beside sessions that rest inside transactions: daemons end and are back before the rest is over."""
+"""Faults beside sessions that rest inside transactions; most end daemons, which are back before the rest is over."""
 FAULTS: dict[str, FaultFunction] = {}
 """All faults by name."""
 
@@ -214,7 +214,7 @@
 
 @register("kill_repeatedly", REST_FAULTS)
 async def kill_repeatedly(soak: "users_demo.Soak") -> None:
-    """Kill a daemon each time that it has run for a while."""
+    """Kill a daemon four times, 0.8 to 2 s apart."""
     vm = soak.random.choice(soak.vms)
     for _ in range(4):
         vm.signal(signal.SIGKILL)
--- a/tools/users_demo.py
+++ b/tools/users_demo.py
@@ -78,7 +78,7 @@
             rests: Whether there are also sessions that rest inside transactions.
         """
         self._resting_sessions = RESTING_SESSIONS if rests else 0
-        # A holder that repeated its numbers would repeat one during a rest only if few transactions used them up.
+        # Other transactions would use up the low numbers of a restarted holder, which a resting one may have.
         self._transaction_share = 0.0 if rests else TRANSACTION_SHARE
         self._more_settings = more_settings
         self._callers: list[session_bed.Caller] = []
