Give each worker of the tests its own ports, and report a daemon that cannot start

Seen once: the whole script on beside three busy processes, 1,971 passed, 1 error. The set-up of test_promotion_after_a_restoration_has_a_higher_generation_number waited 60 s for a daemon to be ready; no line was logged.

Cause, as far as the output tells: the bed checks a port and uses it later, and the four workers, whose process ids follow each other, took their ports from the same range. The failed run does not show the daemon's exception, so that another cause is not excluded.

No check or bound of a test was changed.

--- a/tests/session_bed.py
+++ b/tests/session_bed.py
@@ -17,13 +17,17 @@
 
 FIRST_PORT, PORT_COUNT = 20000, 12000
 """Ports below the kernel's range for outgoing connections, which could take a port between its check and its use."""
-_port_offsets = itertools.count(os.getpid() * 37 % PORT_COUNT)
+WORKERS = 4
+"""Workers of a test run. Each has ports of its own, because another worker could take a port in the same way."""
+_BLOCK_SIZE = PORT_COUNT // WORKERS
+_worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")) % WORKERS
+_port_offsets = itertools.count(os.getpid() * 37 % _BLOCK_SIZE)
 
 
 def free_port() -> int:
     """Return a port that is free for TCP and UDP on the loopback address."""
     while True:
-        port = FIRST_PORT + next(_port_offsets) % PORT_COUNT
+        port = FIRST_PORT + _worker * _BLOCK_SIZE + next(_port_offsets) % _BLOCK_SIZE
         try:
             with socket.socket() as stream, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagram:
                 stream.bind(("127.0.0.1", port))
@@ -155,8 +159,11 @@
             load_management=self.load_management,
         )
         started = daemon.Daemon.from_config(session_settings)
-        self._running.append((started, asyncio.create_task(started.run())))
-        while not started.is_ready():  # noqa: ASYNC110
+        task = asyncio.create_task(started.run())
+        self._running.append((started, task))
+        while not started.is_ready():
+            if task.done():
+                raise RuntimeError(f"{vm} ended before it was ready") from task.exception()
             await asyncio.sleep(0.01)
         return started
 
