Log what a promotion knows of gone instances and acknowledged commits

VMs now keep bounds of the latest acknowledged commit of each service. VMs of a failure domain exchange them with the samples. A VM that promotes collects them and logs them with the known and the gone instances, and logs the pauses that remain after the call was accepted. No decision uses them yet.

--- a/src/currantlead/sessions/daemon.py
+++ b/src/currantlead/sessions/daemon.py
@@ -21,8 +21,8 @@
     settings_reload,
 )
 from currantlead.sessions.callers import access_control, session, token_buckets, token_exchange
-from currantlead.sessions.decisions import start_pacing
-from currantlead.sessions.failover import succession
+from currantlead.sessions.decisions import acknowledgements, start_pacing
+from currantlead.sessions.failover import commit_reports, succession
 from currantlead.sessions.instances import alarms, connection_limits, connections, fleet, holders
 from currantlead.sessions.membership import eviction, liveness, members, overload, registration, start
 from currantlead.sessions.routing import execution, freshness, sampling, targets
@@ -73,6 +73,7 @@
         self.configuration_age = configuration_age.ConfigurationAge(config.bounds)
         self.fleet = fleet.Fleet(config.bounds, config.region_of)
         self.position_samples = freshness.PositionSamples()
+        self.acknowledged_commits = acknowledgements.AcknowledgedCommits()
         self.token_buckets = token_buckets.TokenBuckets(config.vm, config.bounds)
         self.members = members.Members(registration.own_member(config))
         self.network = network.Network(
@@ -120,7 +121,13 @@
             rng=rng,
         )
         self.refusals = refusals.Refusals.from_config(config, self.metrics, self.token_buckets)
-        self.holder = holders.Holder(self.fleet, self.position_samples, self.connections.direct_path, self.load_reports)
+        self.holder = holders.Holder(
+            self.fleet,
+            self.position_samples,
+            self.connections.direct_path,
+            self.load_reports,
+            self.acknowledged_commits,
+        )
         self.holder.register(self.network, None if self.overloads is None else self.overloads.own_level)
         self.answer_health = parts.create_answer_health(
             config, self.fleet, self.metrics, None if self.overloads is None else lambda: self.overloads.lag_s
@@ -141,6 +148,7 @@
             self.connections,
             self.network,
             lambda: not self.mirror.uses_relay,
+            self.acknowledged_commits,
             self.answer_health,
         )
         self.targets = targets.TargetSelector(
@@ -162,6 +170,7 @@
             health=self.answer_health,
             retries=self.refusals,
             start_phase=self.start_phase,
+            acknowledged=self.acknowledged_commits,
         )
         self.mirror.attach_sampler(self.sampler)
         self.mirror.paces_start = config.load_management.start_pacing
@@ -171,6 +180,7 @@
                 self.store,
                 self.duty_claims,
                 config.promotions,
+                commit_reports.CommitReports(self.network, self.acknowledged_commits, self._commit_sources),
                 vm=config.vm,
                 members=self._responsive_vms,
                 configured=lambda: self.configuration.services,
@@ -297,6 +307,11 @@
             and self.configuration_age.allows_new_sessions(clock.now())
         )
 
+    def _commit_sources(self, primary: model.Instance | None) -> list[str]:
+        """Return the VMs through which the commits at a primary pass; None stands for an unknown primary."""
+        holders_by_id = self.connections.holders_of_service(primary.id) if primary is not None else {}
+        return holders_by_id[primary.id] if holders_by_id else self.members.names()
+
     def _handle_hangup(self) -> None:
         if self.settings_reload is not None:
             self.settings_reload.reload("SIGHUP")
--- a/src/currantlead/sessions/failover/succession.py
+++ b/src/currantlead/sessions/failover/succession.py
@@ -15,6 +15,7 @@
 from currantlead.platform import calls, lines, objects
 from currantlead.sessions import clock, model, settings
 from currantlead.sessions.decisions import election, promotion_progress
+from currantlead.sessions.failover import commit_reports
 from currantlead.sessions.instances import fleet, link
 from currantlead.sessions.shared import duty_claims, http, store
 
@@ -50,6 +51,7 @@
         shared: The platform's store, through which promotions are called.
         claims: Claims of the duties; the duty of a service's promotions has the service's name.
         promotions: Address that takes promotion calls.
+        reports: Collects the other VMs' reports on acknowledged commits.
         vm: Name of this VM.
         members: Returns the VMs that may promote, this one included.
         configured: Returns the services of the configuration; entries of instances may name others.
@@ -63,6 +65,7 @@
         shared: store.Store,
         claims: duty_claims.DutyClaims,
         promotions: settings.Address,
+        reports: commit_reports.CommitReports,
         *,
         vm: str,
         members: Callable[[], list[str]],
@@ -74,6 +77,7 @@
         self._store = shared
         self._claims = claims
         claims.on_claimed = self._handle_claim
+        self._reports = reports
         self._vm = vm
         self._members = members
         self._configured = configured
@@ -147,10 +151,13 @@
         ):
             self._fleet.record_write(old.instance.id, answered=True)
             return "at least one replica still receives commits"
+        previous = self._claims.latest(service)
         generation = await self._claims.claim(service, election.CLAIM_EXCLUSIVITY_S)
         if generation is None:
             return "another VM holds the promotion duty"
-        _log.bind(service=service, generation=generation).info("promotion began: {}", reason)
+        _log.bind(
+            service=service, generation=generation, previous_holder=previous.holder if previous is not None else None
+        ).info("promotion began: {}", reason)
         links: list[link.Link] = []
         try:
             return await self._pause_and_promote(service, generation, old, links, demotes=is_reachable)
@@ -204,11 +211,40 @@
             await self._resume_replicas(service, generation, links)
             return chosen
         self._on_stage(service, promotion_progress.Stage.PAUSED)
+        await self._log_known(service, generation, old)
         positions = {item.instance: str(item.received) for item in paused}
         _log.bind(service=service, generation=generation, positions=positions).info(
             "promoting {}, the most recent replica", chosen.instance
         )
-        return await self._request_promotion(service, chosen.instance, generation)
+        outcome = await self._request_promotion(service, chosen.instance, generation)
+        if not outcome:
+            await self._log_pauses(service, links)
+        return outcome
+
+    async def _log_known(self, service: str, generation: int, old: fleet.TrackedInstance | None) -> None:
+        """Log which instances are known and gone, and up to which positions callers had success."""
+        report = await self._reports.collect(service, old.instance if old is not None else None)
+        now = clock.now()
+        sent_at = report.acknowledged.sent_at
+        _log.bind(
+            service=service,
+            generation=generation,
+            known=[tracked.instance.id for tracked in self._fleet.instances_of(service)],
+            gone_s={item.instance.id: round(now - item.gone_at, 2) for item in self._fleet.departures(service)},
+            acknowledged=[str(report.acknowledged.at_least), str(report.acknowledged.at_most)],
+            last_sent_s=round(now - sent_at, 2) if sent_at > float("-inf") else None,
+            silent_vms=list(report.silent),
+        ).info("acknowledged commits compared with the known instances")
+
+    async def _log_pauses(self, service: str, links: list[link.Link]) -> None:
+        """Log which replicas are paused after the promotion was accepted."""
+        statuses = await self._send_to_all(links, _codec.encode_status())
+        paused_terms = {
+            item.instance.id: status.paused_term
+            for item, status in zip(links, statuses, strict=True)
+            if status is not None
+        }
+        _log.bind(service=service, paused_terms=paused_terms).info("pauses after the promotion was accepted")
 
     def _replicas(self, service: str, old_id: str) -> list[model.Instance]:
         return [tracked.instance for tracked in self._fleet.instances_of(service) if tracked.instance.id != old_id]
--- a/src/currantlead/sessions/instances/fleet.py
+++ b/src/currantlead/sessions/instances/fleet.py
@@ -25,6 +25,9 @@
 LAGGING_DURATION_S = 0.8
 """Time for which a replica that lacked a position is taken to lack it; the VMs of a failure domain share this knowledge
 every 0.5 s."""
+DEPARTURE_RETENTION_S = 20.0
+"""Time for which an instance that is gone is remembered. VMs that are gone for good leave the members after this time,
+so that the reports of the others are complete."""
 NOT_PRIMARY_DURATION_S = 0.5
 """Time after which an instance that refused because it is not the primary is taken for the primary again, unless the
 store names another one."""
@@ -59,6 +62,19 @@
     stuck_since: float | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Departure:
+    """An instance that is gone, with its log.
+
+    Attributes:
+        instance: Its last entry.
+        gone_at: Clock reading at which it was known to be gone.
+    """
+
+    instance: model.Instance
+    gone_at: float
+
+
 class Symptom(enum.Enum):
     """A sign that an instance may have failed."""
 
@@ -87,6 +103,7 @@
         self._evacuated_since: dict[str, float] = {}
         self._last_promotion_at: dict[str, float] = {}
         self._absent_since: dict[str, float] = {}
+        self._departures: list[Departure] = []
         self._changed = asyncio.Event()
         self.on_symptom: Callable[[str, Symptom, str], None] = lambda instance_id, symptom, reason: None
 
@@ -121,6 +138,8 @@
             tracked = None
         if tracked is not None:
             instance = _reconcile(tracked.instance, instance)
+        if tracked is not None and tracked.instance.started_at_ms != instance.started_at_ms:
+            self._record_departure(tracked)
         if tracked is None or tracked.instance.started_at_ms != instance.started_at_ms:
             tracked = self._instances[instance.id] = TrackedInstance(instance)
             self._by_service.setdefault(instance.service, {})[instance.id] = tracked
@@ -158,6 +177,7 @@
             return
         if tracked.instance.draining:
             self._forget(tracked)
+            self._record_departure(tracked)
             _log.bind(instance=instance_id).info("drained instance removed")
         elif tracked.lapsed_at is None:
             tracked.lapsed_at = clock.now()
@@ -174,6 +194,7 @@
         ]
         for tracked in expired:
             self._forget(tracked)
+            self._record_departure(tracked)
             _log.bind(instance=tracked.instance.id).warning("lapsed instance removed")
         return [tracked.instance.id for tracked in expired]
 
@@ -185,6 +206,16 @@
         if not of_service:
             del self._by_service[instance.service]
 
+    def departures(self, service: str) -> list[Departure]:
+        """Return the instances of a service that are gone since less than ``DEPARTURE_RETENTION_S`` seconds."""
+        since = clock.now() - DEPARTURE_RETENTION_S
+        self._departures = [item for item in self._departures if item.gone_at > since]
+        return [item for item in self._departures if item.instance.service == service]
+
+    def _record_departure(self, tracked: TrackedInstance) -> None:
+        gone_at = tracked.lapsed_at if tracked.lapsed_at is not None else clock.now()
+        self._departures.append(Departure(tracked.instance, gone_at))
+
     def set_evacuated_domains(self, domains: Iterable[str], since: float) -> None:
         """Set the evacuated failure domains, whose instances must get no new work.
 
--- a/src/currantlead/sessions/instances/holders.py
+++ b/src/currantlead/sessions/instances/holders.py
@@ -13,7 +13,7 @@
 from currantlead import errors, logs
 from currantlead.peers import network
 from currantlead.sessions import clock, model, statements
-from currantlead.sessions.decisions import admission
+from currantlead.sessions.decisions import acknowledgements, admission
 from currantlead.sessions.instances import fleet, order_codec, orders, paths
 from currantlead.sessions.routing import freshness
 
@@ -67,6 +67,7 @@
         samples: Samples of the primaries' positions.
         path_of: Returns the path over this VM's own connections to an instance.
         reports: Adds load reports to the responses; None without them.
+        acknowledged: Records the commits that succeeded.
 
     Attributes:
         leaving: Whether new orders are refused because this VM is shutting down.
@@ -79,8 +80,10 @@
         samples: freshness.PositionSamples,
         path_of: Callable[[model.Instance], paths.DirectPath],
         reports: "load_reports.LoadReports | None" = None,
+        acknowledged: acknowledgements.AcknowledgedCommits | None = None,
     ):
         self._reports = reports
+        self._acknowledged = acknowledged or acknowledgements.AcknowledgedCommits()
         self._fleet = instances
         self._samples = samples
         self._path_of = path_of
@@ -154,6 +157,7 @@
         if self._may_be_outdated():
             return {"refused": "the holder was stalled while the order was queued"}
         order = order_codec.decode_order(body["order"])
+        known_before, sent_at = self._samples.latest(tracked.instance.service), clock.now()
         self._orders_running += 1
         try:
             report, transaction = await self._path_of(tracked.instance).run(
@@ -173,6 +177,7 @@
         finally:
             self._orders_running -= 1
         self._samples.record_report(tracked.instance.service, order, report)
+        self._record_commit(tracked.instance.service, order, report, known_before, sent_at)
         number = None
         if transaction is not None:
             number = next(self._numbers)
@@ -210,6 +215,8 @@
         _log.bind(
             request=order.request_id, instance=entry.transaction.instance.id, caller_vm=entry.vm, transaction=number
         ).debug("running a statement in a transaction")
+        service = entry.transaction.instance.service
+        known_before, sent_at = self._samples.latest(service), clock.now()
         try:
             report = await entry.transaction.run(order)
         except errors.LinkLostError as error:
@@ -218,12 +225,26 @@
         finally:
             entry.busy = False
             entry.last_used_at = clock.now()
-        self._samples.record_report(entry.transaction.instance.service, order, report)
+        self._samples.record_report(service, order, report)
+        self._record_commit(service, order, report, known_before, sent_at)
         if report.reply.state is statements.TransactionState.IDLE:
             await self._end_transaction(number)
             number = None
         return self._encode_response(report, number)
 
+    def _record_commit(
+        self,
+        service: str,
+        order: orders.Order,
+        report: orders.Report,
+        known_before: freshness.Sample | None,
+        sent_at: float,
+    ) -> None:
+        """Record a commit that succeeded; the VM of the caller records it too, but may be gone when it is asked."""
+        if order.commits and report.reply.failure is None:
+            before = None if known_before is None else known_before.position
+            self._acknowledged.record(service, report.reply.position, known_before=before, sent_at=sent_at)
+
     async def end(self, vm: str, body: dict[str, Any]) -> dict[str, Any]:
         """Roll back a transaction, unless it has ended already."""
         entry = self._transactions.get(body["transaction"])
--- a/src/currantlead/sessions/routing/execution.py
+++ b/src/currantlead/sessions/routing/execution.py
@@ -6,8 +6,8 @@
 
 from currantlead import errors, logs
 from currantlead.platform import objects
-from currantlead.sessions import clock, metric_registry, refusals, statements
-from currantlead.sessions.decisions import admission, start_pacing, waiting
+from currantlead.sessions import clock, metric_registry, model, refusals, statements
+from currantlead.sessions.decisions import acknowledgements, admission, start_pacing, waiting
 from currantlead.sessions.instances import fleet, orders
 from currantlead.sessions.routing import composition, freshness, operations, targets
 
@@ -37,6 +37,7 @@
         health: Health of the instances as their answers show it, or None if they are not judged by it.
         retries: Retry delays of refusals; also whether statements are refused on arrival.
         start_phase: Pace of the work after the start of this VM, or None if it is not paced.
+        acknowledged: Records the commits that succeeded.
     """
 
     def __init__(
@@ -50,7 +51,9 @@
         retries: refusals.Refusals,
         health: "answer_health.AnswerHealth | None" = None,
         start_phase: start_pacing.StartPhase | None = None,
+        acknowledged: acknowledgements.AcknowledgedCommits | None = None,
     ):
+        self._acknowledged = acknowledged or acknowledgements.AcknowledgedCommits()
         self._refusals = retries
         self._health = health
         self._start_phase = start_phase
@@ -132,6 +135,7 @@
             needs_primary=lease.needs_primary and not commits,
             commits=commits and lease.wrote,
         )
+        known_before, sent_at = self._latest_position(context), clock.now()
         try:
             report = await lease.transaction.run(order)
         except errors.LinkLostError as error:
@@ -142,6 +146,9 @@
         self._fleet.mark_healthy(instance_id)
         if commits and lease.wrote and report.reply.failure is None:
             self._fleet.record_write(instance_id, answered=True)
+            self._acknowledged.record(
+                context.route.service, report.reply.position, known_before=known_before, sent_at=sent_at
+            )
         self._samples.record_report(context.route.service, order, report)
         return operations.Outcome.of(report.reply)
 
@@ -304,6 +311,7 @@
     ) -> tuple[operations.Outcome, operations.Lease | None]:
         """Make one attempt at a target."""
         instance = target.tracked.instance
+        known_before, sent_at = self._latest_position(context), clock.now()
         try:
             report, transaction = await target.path.run(
                 context.organisation,
@@ -337,11 +345,19 @@
         self._fleet.mark_healthy(instance.id)
         if may_commit and report.reply.failure is None:
             self._fleet.record_write(instance.id, answered=True)
+            self._acknowledged.record(
+                context.route.service, report.reply.position, known_before=known_before, sent_at=sent_at
+            )
         self._samples.record_report(context.route.service, order, report)
         self._targets.record_position(instance, report.reply.position)
         lease = None if transaction is None else operations.Lease(transaction, needs_primary=target.after is None)
         return operations.Outcome.of(report.reply), lease
 
+    def _latest_position(self, context: operations.Context) -> model.Position | None:
+        """Return a position that the primary's log is known to have reached, or None."""
+        sample = self._samples.latest(context.route.service)
+        return None if sample is None else sample.position
+
     def _record_lost_link(self, instance_id: str, error: errors.LinkLostError, *, commits: bool) -> None:
         """Record what a lost connection reveals about the instance."""
         if self._health is not None:
--- a/src/currantlead/sessions/routing/sampling.py
+++ b/src/currantlead/sessions/routing/sampling.py
@@ -14,6 +14,7 @@
 from currantlead import errors, logs
 from currantlead.peers import network
 from currantlead.sessions import clock, model
+from currantlead.sessions.decisions import acknowledgements
 from currantlead.sessions.instances import connections, fleet, forwarding, orders
 from currantlead.sessions.routing import freshness
 
@@ -22,6 +23,8 @@
     from currantlead.sessions.instances import answer_health
 
 SAMPLE = "sample"
+ACKNOWLEDGED = "acknowledged"
+"""Key of the bounds of the acknowledged commits."""
 TOTALS, DECISIONS = "answers", "ejected"
 """Keys of the answers that a VM has counted, and of a relay's decisions."""
 SAMPLE_INTERVAL_S = 0.5
@@ -50,6 +53,8 @@
         instance_connections: The connections of this VM to instances.
         peers: Streams to the other VMs.
         is_collecting: Returns whether this VM collects samples on behalf of its failure domain.
+        acknowledged: The acknowledged commits that this VM knows; the VMs of a failure domain tell each other, so that
+            the knowledge outlives a VM.
         health: Health of the instances as their answers show it, or None if they are not judged by it.
     """
 
@@ -60,8 +65,10 @@
         instance_connections: connections.Connections,
         peers: network.Network,
         is_collecting: Callable[[], bool],
+        acknowledged: acknowledgements.AcknowledgedCommits,
         health: "answer_health.AnswerHealth | None" = None,
     ):
+        self._acknowledged = acknowledged
         self._health = health
         self._fleet = instance_fleet
         self._samples = samples
@@ -115,15 +122,18 @@
             health[DECISIONS] = self._health.encode_decisions()
         elif self._health is not None:
             health[TOTALS] = self._health.encode_totals()
+        acknowledged = {
+            service: self._acknowledged.of(service).encode(now) for service in self._acknowledged.services()
+        }
         if not include_positions:
-            return {"behind": lagging, **health}
+            return {"behind": lagging, ACKNOWLEDGED: acknowledged, **health}
         latest_samples = {service: self._samples.latest(service) for service in self._fleet.services()}
         samples = {
             service: [sample.position.term, sample.position.number, now - sample.asked_at]
             for service, sample in latest_samples.items()
             if sample is not None
         }
-        return {"positions": samples, "behind": lagging, **health}
+        return {"positions": samples, "behind": lagging, ACKNOWLEDGED: acknowledged, **health}
 
     def merge(self, message: dict[str, Any], asked_at: float, vm: str = "") -> None:
         """Record another VM's samples and lagging instances, and what it has seen of instances.
@@ -135,6 +145,10 @@
         try:
             positions = _decode_entries(message.get("positions", {}))
             lagging = _decode_entries(message.get("behind", {}))
+            acknowledged = {
+                str(service): acknowledgements.Acknowledged.decode(bounds, asked_at)
+                for service, bounds in message.get(ACKNOWLEDGED, {}).items()
+            }
             if self._health is not None and TOTALS in message and vm:
                 self._health.merge_totals(vm, message[TOTALS])
             if self._health is not None and DECISIONS in message:
@@ -144,6 +158,8 @@
             return
         for service, (position, age_s) in positions.items():
             self._samples.record(service, asked_at - age_s, position)
+        for service, bounds in acknowledged.items():
+            self._acknowledged.merge(service, bounds)
         for instance_id, (position, age_s) in lagging.items():
             self._fleet.mark_lagging(instance_id, position, age_s)
 
