Show that commits are lost after the only replica that had them left

Callers were told that writes had succeeded, and read older values later. The primary is cut off from its replicas except one that drains; that one acknowledges commits and leaves with its log. The replicas that are left have stopped receiving, are paused and agree with each other, so choose_replica takes one of them. Neither the position that the primary still reports nor the departure is considered. The same happens while the primary drains or has crashed and comes back.

--- /dev/null
+++ b/tests/test_promotion_losses.py
@@ -0,0 +1,67 @@
+"""Tests that promotions lose no acknowledged commit while instances leave, join or restart and orders act late.
+
+They look only at the answers that callers get, at the acknowledged commits that a promoted log lacked, and at the time
+until writes succeed again.
+"""
+
+import asyncio
+
+import pytest
+
+from tests import promotion_bed, session_bed
+
+
+def cut_off_primary(bed, *replicas):
+    """Cut the primary off from replicas."""
+    for name in replicas:
+        bed.service.cut(bed.service.primary, name)
+
+
+@pytest.fixture
+async def bed():
+    """Provide a daemon and a service with four instances, whose promotions take effect after 0.3 s."""
+    async with session_bed.Bed(instances=["i-1", "i-2", "i-3", "i-4"], promote_s=0.3) as started:
+        yield started
+
+
+async def test_commits_stuck_after_the_only_up_to_date_replica_left(bed):
+    """Guards against promoting a replica that lacks commits whose only other copy left, though the primary lives."""
+    async with promotion_bed.write(bed) as writer:
+        # Stuck commits cause no promotion in the first 6 s after a primary is first seen.
+        await asyncio.sleep(6.0)
+        cut_off_primary(bed, "i-2", "i-3")
+        bed.register_instance("i-4", state="draining")
+        await writer.wait_for_acknowledged(5, 3.0)
+        await bed.leave("i-4")
+        await promotion_bed.await_wrong_promotion(bed, "i-1", timeout_s=3.0)
+        bed.service.cut_links.clear()
+        await promotion_bed.check_nothing_is_lost(bed, writer)
+
+
+async def test_drained_primary_replaced_by_a_replica_that_was_cut_off(bed):
+    """Guards against promoting a replica behind a primary that drains, after the only replica with its commits left."""
+    async with promotion_bed.write(bed) as writer:
+        cut_off_primary(bed, "i-2", "i-3")
+        bed.register_instance("i-4", state="draining")
+        await writer.wait_for_acknowledged(5, 3.0)
+        await bed.leave("i-4")
+        bed.register_instance("i-1", state="draining")
+        await promotion_bed.await_wrong_promotion(bed, "i-1", timeout_s=2.0)
+        bed.service.cut_links.clear()
+        await promotion_bed.wait_for_new_primary(bed, "i-1")
+        await promotion_bed.check_nothing_is_lost(bed, writer)
+
+
+async def test_crashed_primary_replaced_after_the_only_up_to_date_replica_left(bed):
+    """Guards against promoting a replica that lacks commits, while the crashed primary has them and comes back."""
+    async with promotion_bed.write(bed) as writer:
+        cut_off_primary(bed, "i-2", "i-3")
+        bed.register_instance("i-4", state="draining")
+        await writer.wait_for_acknowledged(5, 3.0)
+        await bed.service.instances["i-1"].stop()
+        await bed.leave("i-4")
+        await promotion_bed.await_wrong_promotion(bed, "i-1", timeout_s=3.0)
+        await bed.service.instances["i-1"].start()
+        bed.service.on_role_change()
+        bed.service.cut_links.clear()
+        await promotion_bed.check_nothing_is_lost(bed, writer)
