Show that a primary acknowledges commits after its successor was chosen

Callers of one VM were told that writes had succeeded which the promoted instance lacks. Another VM doesn't reach the primary, so it pauses the known replicas and calls the promotion without a demotion. A replica that joins before the promotion takes effect, or whose restart ends its pause, receives again and lets the primary acknowledge commits that other VMs still send. A pause is checked once, before the call.

--- a/tests/test_promotion_losses.py
+++ b/tests/test_promotion_losses.py
@@ -65,3 +65,40 @@
         bed.service.on_role_change()
         bed.service.cut_links.clear()
         await promotion_bed.check_nothing_is_lost(bed, writer)
+
+
+async def test_replica_joins_a_primary_that_the_promoting_vm_cannot_reach():
+    """Guards against commits that a replica which joined after the pause lets the old primary acknowledge."""
+    async with promotion_bed.make_pair_with_cut_off_vm() as (bed, cut_off, proxy):
+        request_promotion, joins = bed.store.promote, []
+
+        def join_and_promote(service, instance_id):
+            if not joins:
+                joins.append(asyncio.create_task(bed.join("i-4")))
+            return request_promotion(service, instance_id)
+
+        bed.store.promote = join_and_promote
+        async with promotion_bed.write(bed) as writer, promotion_bed.write(bed, cut_off):
+            proxy.to_target.dropped = proxy.from_target.dropped = True
+            await promotion_bed.await_wrong_promotion(bed, "i-1", timeout_s=5.0)
+            proxy.clear_faults()
+            await promotion_bed.check_nothing_is_lost(bed, writer)
+
+
+async def test_replica_restarts_while_the_promoting_vm_cannot_reach_the_primary():
+    """Guards against commits that a replica whose restart ended its pause lets the old primary acknowledge."""
+    async with promotion_bed.make_pair_with_cut_off_vm() as (bed, cut_off, proxy):
+        request_promotion, restarts = bed.store.promote, []
+
+        def restart_and_promote(service, instance_id):
+            if not restarts:
+                (other,) = {"i-2", "i-3"} - {instance_id}
+                restarts.append(asyncio.create_task(bed.service.instances[other].restart()))
+            return request_promotion(service, instance_id)
+
+        bed.store.promote = restart_and_promote
+        async with promotion_bed.write(bed) as writer, promotion_bed.write(bed, cut_off):
+            proxy.to_target.dropped = proxy.from_target.dropped = True
+            await promotion_bed.await_wrong_promotion(bed, "i-1", timeout_s=5.0)
+            proxy.clear_faults()
+            await promotion_bed.check_nothing_is_lost(bed, writer)
