Show that orders which act late lose commits

Callers were told that writes had succeeded, and all writes of a term were gone after the next promotion. Promotion calls get no answer and are carried out seconds later. In the first case, another VM claims the promotion meanwhile, pauses with a higher term and calls for the same instance, which leads already through the late order. The new primary's term is below that of the pause, so its replicas stay paused. Only the demoted old primary receives; it leaves with its log. In the second case, a late copy of an order makes a demoted primary lead once more while its successor, chosen from older positions, is being promoted.

--- a/tests/test_promotion_losses.py
+++ b/tests/test_promotion_losses.py
@@ -9,6 +9,7 @@
 import pytest
 
 from tests import promotion_bed, session_bed
+from tests.standins import object_store
 
 
 def cut_off_primary(bed, *replicas):
@@ -102,3 +103,43 @@
             await promotion_bed.await_wrong_promotion(bed, "i-1", timeout_s=5.0)
             proxy.clear_faults()
             await promotion_bed.check_nothing_is_lost(bed, writer)
+
+
+async def test_replicas_stay_paused_after_two_orders_for_one_successor(bed):
+    """Guards against replicas that stay paused for a higher term than the new primary's, and are promoted later."""
+    await bed.add_daemon("vm-2", "z2")
+    await promotion_bed.replace_twice_with_late_orders(bed)
+
+
+async def test_late_copy_of_an_order_acts_while_its_instance_is_replaced(bed):
+    """Guards against an old order that makes a demoted primary lead once more before its successor is promoted."""
+    fences, demoted = [], []
+
+    def find_fault(path, fields, fence):
+        fences.append(fence)
+        if len(fences) == 1:
+            return object_store.Late(30.0)
+        if demoted and fence > fences[0] and fences.count(fence) == 1:
+            # The call for the successor is slow, and so is the replication to it, as between failure domains.
+            if fields["id"] != demoted[0]:
+                bed.service.cut(demoted[0], fields["id"])
+            return object_store.Late(0.4)
+        return None
+
+    def act_when_demoted(instance, command, term):
+        if command == "DEMOTE" and fences and instance.id != "i-1" and not demoted:
+            demoted.append(instance.id)
+            asyncio.get_running_loop().call_soon(bed.store.carry_out_late_calls)
+
+    bed.store.duty_fault = find_fault
+    bed.service.on_command = act_when_demoted
+    async with promotion_bed.write(bed) as writer:
+        bed.register_instance("i-1", state="draining")
+        await promotion_bed.wait_for_new_primary(bed, "i-1")
+        await writer.wait_for_acknowledged(3, 5.0)
+        bed.register_instance("i-1")
+        first = bed.service.primary
+        bed.register_instance(first, state="draining")
+        await promotion_bed.wait_for_new_primary(bed, first)
+        bed.service.cut_links.clear()
+        await promotion_bed.check_nothing_is_lost(bed, writer)
