Show that a service stays without a primary after its VM was killed

All writes were refused until another event caused a promotion. The VM that promotes is killed after it has demoted the primary, and the drain that was the reason is taken back. The other VM sees an instance that was named primary last, answers and doesn't drain, so it finds no reason to act.

--- a/tests/process/test_late_orders.py
+++ b/tests/process/test_late_orders.py
@@ -1,6 +1,7 @@
 """Tests of promotions by real daemon processes whose orders act late or that are killed between their steps."""
 
 import asyncio
+import signal
 
 import pytest
 
@@ -57,3 +58,24 @@
 async def test_replicas_stay_paused_after_two_orders_for_one_successor(bed):
     """Guards against replicas that stay paused for a higher term than the new primary's, and are promoted later."""
     await promotion_bed.replace_twice_with_late_orders(bed)
+
+
+async def test_promoting_vm_killed_after_the_demotion_leaves_no_primary(bed):
+    """Guards against a service without a primary when its VM is killed before the call and the drain is taken back."""
+    killed = []
+
+    def kill_holder(instance, command, term):
+        if command == "DEMOTE" and not killed:
+            holder = bed.processes[bed.store.objects["duties"]["svc1"]["spec"]["holder"]]
+            holder.signal(signal.SIGKILL)
+            killed.append(asyncio.create_task(bed.stop_daemon(holder)))
+
+    bed.service.on_command = kill_holder
+    async with promotion_bed.write(bed):
+        bed.register_instance("i-1", state="draining")
+        await session_bed.wait_until(lambda: killed, 5.0)
+        await killed[0]
+        bed.register_instance("i-1")
+    (survivor,) = bed.processes.values()
+    async with promotion_bed.write(bed, survivor, timeout_s=promotion_bed.WRITABLE_WITHIN_S) as writer:
+        await promotion_bed.check_nothing_is_lost(bed, writer)
