--- /dev/null
+++ b/tests/test_promotion_losses.py
@@ -0,0 +1,145 @@
+"""Tests that promotions lose no acknowledged commit while instances leave, join or restart and orders act late.
+
+They look only at the answers that callers get, at the acknowledged commits that a promoted log lacked, and at the time
+until writes succeed again.
+"""
+
+import asyncio
+
+import pytest
+
+from tests import promotion_bed, session_bed
+from tests.standins import object_store
+
+
+def cut_off_primary(bed, *replicas):
+    """Cut the primary off from replicas."""
+    for name in replicas:
+        bed.service.cut(bed.service.primary, name)
+
+
+@pytest.fixture
+async def bed():
+    """Provide a daemon and a service with four instances, whose promotions take effect after 0.3 s."""
+    async with session_bed.Bed(instances=["i-1", "i-2", "i-3", "i-4"], promote_s=0.3) as started:
+        yield started
+
+
+async def test_commits_stuck_after_the_only_up_to_date_replica_left(bed):
+    """Guards against promoting a replica that lacks commits whose only other copy left, though the primary lives."""
+    async with promotion_bed.write(bed) as writer:
+        # Stuck commits cause no promotion in the first 6 s after a primary is first seen.
+        await asyncio.sleep(6.0)
+        cut_off_primary(bed, "i-2", "i-3")
+        bed.register_instance("i-4", state="draining")
+        await writer.wait_for_acknowledged(5, 3.0)
+        await bed.leave("i-4")
+        await promotion_bed.await_wrong_promotion(bed, "i-1", timeout_s=3.0)
+        bed.service.cut_links.clear()
+        await promotion_bed.check_nothing_is_lost(bed, writer)
+
+
+async def test_drained_primary_replaced_by_a_replica_that_was_cut_off(bed):
+    """Guards against promoting a replica behind a primary that drains, after the only replica with its commits left."""
+    async with promotion_bed.write(bed) as writer:
+        cut_off_primary(bed, "i-2", "i-3")
+        bed.register_instance("i-4", state="draining")
+        await writer.wait_for_acknowledged(5, 3.0)
+        await bed.leave("i-4")
+        bed.register_instance("i-1", state="draining")
+        await promotion_bed.await_wrong_promotion(bed, "i-1", timeout_s=2.0)
+        bed.service.cut_links.clear()
+        await promotion_bed.wait_for_new_primary(bed, "i-1")
+        await promotion_bed.check_nothing_is_lost(bed, writer)
+
+
+async def test_crashed_primary_replaced_after_the_only_up_to_date_replica_left(bed):
+    """Guards against promoting a replica that lacks commits, while the crashed primary has them and comes back."""
+    async with promotion_bed.write(bed) as writer:
+        cut_off_primary(bed, "i-2", "i-3")
+        bed.register_instance("i-4", state="draining")
+        await writer.wait_for_acknowledged(5, 3.0)
+        await bed.service.instances["i-1"].stop()
+        await bed.leave("i-4")
+        await promotion_bed.await_wrong_promotion(bed, "i-1", timeout_s=3.0)
+        await bed.service.instances["i-1"].start()
+        bed.service.on_role_change()
+        bed.service.cut_links.clear()
+        await promotion_bed.check_nothing_is_lost(bed, writer)
+
+
+async def test_replica_joins_a_primary_that_the_promoting_vm_cannot_reach():
+    """Guards against commits that a replica which joined after the pause lets the old primary acknowledge."""
+    async with promotion_bed.make_pair_with_cut_off_vm() as (bed, cut_off, proxy):
+        request_promotion, joins = bed.store.promote, []
+
+        def join_and_promote(service, instance_id):
+            if not joins:
+                joins.append(asyncio.create_task(bed.join("i-4")))
+            return request_promotion(service, instance_id)
+
+        bed.store.promote = join_and_promote
+        async with promotion_bed.write(bed) as writer, promotion_bed.write(bed, cut_off):
+            proxy.to_target.dropped = proxy.from_target.dropped = True
+            await promotion_bed.await_wrong_promotion(bed, "i-1", timeout_s=5.0)
+            proxy.clear_faults()
+            await promotion_bed.check_nothing_is_lost(bed, writer)
+
+
+async def test_replica_restarts_while_the_promoting_vm_cannot_reach_the_primary():
+    """Guards against commits that a replica whose restart ended its pause lets the old primary acknowledge."""
+    async with promotion_bed.make_pair_with_cut_off_vm() as (bed, cut_off, proxy):
+        request_promotion, restarts = bed.store.promote, []
+
+        def restart_and_promote(service, instance_id):
+            if not restarts:
+                (other,) = {"i-2", "i-3"} - {instance_id}
+                restarts.append(asyncio.create_task(bed.service.instances[other].restart()))
+            return request_promotion(service, instance_id)
+
+        bed.store.promote = restart_and_promote
+        async with promotion_bed.write(bed) as writer, promotion_bed.write(bed, cut_off):
+            proxy.to_target.dropped = proxy.from_target.dropped = True
+            await promotion_bed.await_wrong_promotion(bed, "i-1", timeout_s=5.0)
+            proxy.clear_faults()
+            await promotion_bed.check_nothing_is_lost(bed, writer)
+
+
+async def test_replicas_stay_paused_after_two_orders_for_one_successor(bed):
+    """Guards against replicas that stay paused for a higher term than the new primary's, and are promoted later."""
+    await bed.add_daemon("vm-2", "z2")
+    await promotion_bed.replace_twice_with_late_orders(bed)
+
+
+async def test_late_copy_of_an_order_acts_while_its_instance_is_replaced(bed):
+    """Guards against an old order that makes a demoted primary lead once more before its successor is promoted."""
+    fences, demoted = [], []
+
+    def find_fault(path, fields, fence):
+        fences.append(fence)
+        if len(fences) == 1:
+            return object_store.Late(30.0)
+        if demoted and fence > fences[0] and fences.count(fence) == 1:
+            # The call for the successor is slow, and so is the replication to it, as between failure domains.
+            if fields["id"] != demoted[0]:
+                bed.service.cut(demoted[0], fields["id"])
+            return object_store.Late(0.4)
+        return None
+
+    def act_when_demoted(instance, command, term):
+        if command == "DEMOTE" and fences and instance.id != "i-1" and not demoted:
+            demoted.append(instance.id)
+            asyncio.get_running_loop().call_soon(bed.store.carry_out_late_calls)
+
+    bed.store.duty_fault = find_fault
+    bed.service.on_command = act_when_demoted
+    async with promotion_bed.write(bed) as writer:
+        bed.register_instance("i-1", state="draining")
+        await promotion_bed.wait_for_new_primary(bed, "i-1")
+        await writer.wait_for_acknowledged(3, 5.0)
+        bed.register_instance("i-1")
+        first = bed.service.primary
+        bed.register_instance(first, state="draining")
+        await promotion_bed.wait_for_new_primary(bed, first)
+        bed.service.cut_links.clear()
+        await promotion_bed.check_nothing_is_lost(bed, writer)
