Give each promotion call a connection of its own

A VM that promoted several services at once sent their calls on one connection, which carries one call at a time. The second call made h11 raise LocalProtocolError, which closed the connection and ended the first one, although the platform had received it. Both were repeated and collided again: each repeat is one more order that may act up to 12 s later, and with three services one got no answer within 15 s.

Each promotion now opens its own connection. tests/test_promotions_at_once.py failed in 4 of 4 runs before and passes now.

--- a/src/currantlead/sessions/daemon.py
+++ b/src/currantlead/sessions/daemon.py
@@ -295,8 +295,6 @@
             self.usage.close()
         self.liveness.close()
         self.store.close()
-        if self.failover is not None:
-            self.failover.close()
         await self.network.stop()
 
     def is_ready(self) -> bool:
--- a/src/currantlead/sessions/failover/succession.py
+++ b/src/currantlead/sessions/failover/succession.py
@@ -83,15 +83,11 @@
         self._configured = configured
         self._count_outcome = count_outcome
         self._on_stage = on_stage
-        self._promotion_client = http.HttpClient(promotions)
+        self._promotions = promotions
         self._replacement_due_since: dict[str, tuple[str, float]] = {}
         self._next_attempt_at: dict[str, float] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
-    def close(self) -> None:
-        """Close the connection to the promotion API."""
-        self._promotion_client.close()
-
     def _handle_claim(self, duty: str) -> None:
         if duty in self._services():
             self._on_stage(duty, promotion_progress.Stage.CLAIMED)
@@ -289,11 +285,19 @@
 
     async def _request_promotion(self, service: str, instance_id: str, generation: int) -> str:
         """Repeat the promotion call until it is answered; return why it failed, or an empty string."""
+        # A connection carries one call at a time, and other services may be promoted at the same moment.
+        client = http.HttpClient(self._promotions)
+        try:
+            return await self._repeat_call(service, instance_id, generation, client)
+        finally:
+            client.close()
+
+    async def _repeat_call(self, service: str, instance_id: str, generation: int, client: http.HttpClient) -> str:
         call = calls.promote_call(service, instance_id, self._vm, generation)
         deadline = clock.now() + CALL_LIMIT_S
         while clock.now() < deadline:
             try:
-                response = await self._store.call(call, self._promotion_client, CALL_TIMEOUT_S)
+                response = await self._store.call(call, client, CALL_TIMEOUT_S)
             except errors.HttpUnavailableError as error:
                 _log.bind(service=service, generation=generation).warning(
                     "no answer to the promotion call, repeating it: {}", error
