Compare promotions with what callers were told, and record their orders

Callers saw commits acknowledged that were missing at the primary promoted next (rule LOST): a replica left with the only copy; a replica joined or restarted while a promotion was pending whose primary the VM could not reach; calls without an answer took effect seconds later, while another VM promoted.

Cause: a promotion decided on facts that were read once and could change until it took effect, seconds later. The set of replicas shrank with the store's entries. Positions were compared with each other only, not with the old primary's or with what was acknowledged. An exclusive use of 3 s began at the claim, while a call may act up to 12 s after it was sent. Nobody resumed replicas that a second VM had paused for a later term than that of the promotion, which had taken effect by then.

Change: - decisions/promotion_choice.py: a replica is promoted only if it has all commits that may have been acknowledged, by the old primary's position, by the reports of all VMs, or because all replicas that may have them are paused. Instances that left count until a commit that was sent later is acknowledged. Otherwise the promotion waits and says why. - The instance that a VM calls for is recorded in the store before the first call, by a conditional update whose revision is the call's number. While that order is open, VMs send commits to no other instance, and a VM that takes over prefers the same one. An order whose calls were not all answered is closed by a call with a higher number. - A primary that the VM cannot reach is demoted through another VM. - Replicas that are still paused once the new primary leads are resumed.

tests/test_succession.py: the order that is repeated unchanged is now also closed under a later number, so the test compares the numbers of the repeated calls; promotions are counted once the new primary leads, so the test waits for the count. The choice of the replica moved from election.py with its cases.

--- a/src/currantlead/platform/objects.py
+++ b/src/currantlead/platform/objects.py
@@ -351,23 +351,31 @@
     return float(value)
 
 
-def encode_duty(holder: str, previous: int) -> dict[str, Any]:
+def encode_duty(duty: model.Duty, previous: int) -> dict[str, Any]:
     """Encode the entry of a duty.
 
     The entry includes the revision of its predecessor, because the store assigns no new revision to a replacement that
     changes nothing.
 
     Args:
-        holder: VM that holds the duty.
+        duty: The duty.
         previous: Revision of the replaced entry.
     """
-    return {"holder": holder, "previous": previous}
+    value: dict[str, Any] = {"holder": duty.holder, "previous": previous}
+    if duty.stage is not model.DutyStage.CLAIMED:
+        value["stage"] = duty.stage.value
+    return value | {"ordered": duty.ordered} if duty.ordered else value
 
 
-def decode_duty(stored: StoredObject) -> str:
-    """Decode the holder of a duty; empty if the entry is malformed."""
-    value = stored.value
-    return str(value.get("holder", "")) if isinstance(value, Mapping) else ""
+def decode_duty(stored: StoredObject) -> model.Duty:
+    """Decode a duty; its holder is empty if the entry is malformed."""
+    value = stored.value if isinstance(stored.value, Mapping) else {}
+    try:
+        stage = model.DutyStage(value.get("stage", model.DutyStage.CLAIMED.value))
+    except ValueError:
+        _log.warning("ignoring stage {} of duty {}", reprlib.repr(value["stage"]), reprlib.repr(stored.name))
+        stage = model.DutyStage.CLAIMED
+    return model.Duty(str(value.get("holder", "")), stage, str(value.get("ordered", "")))
 
 
 def encode_usage(record: model.UsageRecord) -> dict[str, Any]:
--- a/src/currantlead/sessions/daemon.py
+++ b/src/currantlead/sessions/daemon.py
@@ -21,8 +21,8 @@
     settings_reload,
 )
 from currantlead.sessions.callers import access_control, session, token_buckets, token_exchange
-from currantlead.sessions.decisions import acknowledgements, start_pacing
-from currantlead.sessions.failover import commit_reports, succession
+from currantlead.sessions.decisions import acknowledgements, election, start_pacing
+from currantlead.sessions.failover import commit_reports, remote_demotion, succession
 from currantlead.sessions.instances import alarms, connection_limits, connections, fleet, holders
 from currantlead.sessions.membership import eviction, liveness, members, overload, registration, start
 from currantlead.sessions.routing import execution, freshness, sampling, targets
@@ -180,7 +180,10 @@
                 self.store,
                 self.duty_claims,
                 config.promotions,
-                commit_reports.CommitReports(self.network, self.acknowledged_commits, self._commit_sources),
+                commit_reports.CommitReports(
+                    self.network, self.acknowledged_commits, self._commit_sources, self.members.names
+                ),
+                remote_demotion.RemoteDemotion(self.network, self.fleet, self._vms_near),
                 vm=config.vm,
                 members=self._responsive_vms,
                 configured=lambda: self.configuration.services,
@@ -295,6 +298,8 @@
             self.usage.close()
         self.liveness.close()
         self.store.close()
+        if self.failover is not None:
+            await self.failover.close()
         await self.network.stop()
 
     def is_ready(self) -> bool:
@@ -310,6 +315,12 @@
         holders_by_id = self.connections.holders_of_service(primary.id) if primary is not None else {}
         return holders_by_id[primary.id] if holders_by_id else self.members.names()
 
+    def _vms_near(self, instance: model.Instance) -> list[str]:
+        """Return the VMs that respond, those of an instance's failure domain first."""
+        in_domain = {member.name for member in self.members.all() if member.domain == instance.domain}
+        order = election.promotion_order(instance.service, self._responsive_vms())
+        return sorted(order, key=lambda vm: vm not in in_domain)
+
     def _handle_hangup(self) -> None:
         if self.settings_reload is not None:
             self.settings_reload.reload("SIGHUP")
--- /dev/null
+++ b/src/currantlead/sessions/decisions/promotion_choice.py
@@ -0,0 +1,121 @@
+"""Which replica may be promoted without the loss of an acknowledged commit, and why none may be.
+
+The functions are pure; ``failover.promotion`` gathers what they decide on. An acknowledged commit is on the primary and
+on one replica at least. The replica that is promoted has it in one of these cases:
+
+- It is as recent as the old primary, which leads no more.
+- It is as recent as the latest commit that a caller was told of, by the reports of all VMs.
+- It is the most recent of all replicas that may have acknowledged a commit, and all of these receive nothing more. An
+  instance that is gone no longer counts once a commit that was sent after its departure was acknowledged: the remaining
+  replica that received this commit has all earlier ones.
+"""
+
+import dataclasses
+from collections.abc import Sequence
+
+from currantlead.sessions import model
+from currantlead.sessions.decisions import acknowledgements
+
+MIN_REPLICAS = 2
+"""Minimum number of paused replicas for a promotion without the position of the old primary. One of two replicas is
+synchronous, and either may be the one, so the latest commit may be on either."""
+ACCOUNT_S = 10.0
+"""Time before the departure of an instance from which the reports of VMs have to reach back. A primary that is cut off
+from its other replicas for longer is replaced before, because it drains, lapses or fails."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PausedReplica:
+    """A replica whose replication is paused.
+
+    Attributes:
+        instance: Identity of the replica.
+        received: Position of the last commit that it has received.
+        promotable: Whether it may become primary: it neither drains nor lies in an evacuated failure domain.
+    """
+
+    instance: str
+    received: model.Position
+    promotable: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Departed:
+    """An instance that is gone and whose log cannot be read.
+
+    Attributes:
+        instance: Identity of the instance.
+        gone_at: Clock reading at which it was known to be gone, in seconds.
+    """
+
+    instance: str
+    gone_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Situation:
+    """What a VM knows before it promotes a replica.
+
+    Attributes:
+        paused: Replicas whose replication is paused, with their positions since.
+        replicas: Number of replicas that may have acknowledged a commit.
+        demoted: The old primary with its position, if it has confirmed that it leads no more, or None.
+        acknowledged: Bounds of the latest acknowledged commit that any VM has reported.
+        reported_since: Clock reading since which all VMs have kept account; infinite if one did not report.
+        departed: Instances that are gone.
+        ordered: Instance of an earlier order that may still take effect, or empty.
+    """
+
+    paused: Sequence[PausedReplica]
+    replicas: int
+    demoted: PausedReplica | None = None
+    acknowledged: acknowledgements.Acknowledged = dataclasses.field(default_factory=acknowledgements.Acknowledged)
+    reported_since: float = float("inf")
+    departed: Sequence[Departed] = ()
+    ordered: str = ""
+
+
+def choose_replica(situation: Situation) -> "PausedReplica | str":
+    """Return the instance to promote, or the reason why none may be promoted.
+
+    The instance of an open order is preferred, because that order may take effect at any time.
+    """
+    paused = situation.paused
+    if len(paused) < situation.replicas:
+        return f"{situation.replicas - len(paused)} of {situation.replicas} replicas did not confirm the pause"
+    if len(paused) < MIN_REPLICAS and situation.demoted is None:
+        return f"too few replicas for a promotion: {len(paused)} paused"
+    latest = max((item.received for item in paused), default=acknowledgements.NO_POSITION)
+    reason = explain_missing(situation, latest)
+    if not reason:
+        candidates = [item for item in paused if item.received == latest]
+        for preferred in (
+            [item for item in candidates if item.instance == situation.ordered],
+            [item for item in candidates if item.promotable],
+        ):
+            if preferred:
+                return min(preferred, key=lambda item: item.instance)
+        reason = "every replica with the latest commit is draining or evacuated"
+    # Without another choice the service would have no primary.
+    return reason if situation.demoted is None else situation.demoted
+
+
+def explain_missing(situation: Situation, position: model.Position) -> str:
+    """Return why a log that ends at a position may lack an acknowledged commit, or an empty string if it cannot.
+
+    Args:
+        situation: What is known; all replicas that can be reached end at the position or before.
+        position: Position of the most recent replica.
+    """
+    acknowledged = situation.acknowledged
+    if situation.demoted is not None and position >= situation.demoted.received:
+        return ""
+    if position < acknowledged.at_least:
+        return f"callers were told of commits up to {acknowledged.at_least}, the replicas end at {position}"
+    uncovered = [item for item in situation.departed if acknowledged.sent_at <= item.gone_at]
+    if not uncovered:
+        return ""
+    first_gone_at = min(item.gone_at for item in uncovered)
+    if position >= acknowledged.at_most and situation.reported_since <= first_gone_at - ACCOUNT_S:
+        return ""
+    return f"commits may be only on {', '.join(sorted(item.instance for item in uncovered))}, which left"
--- a/src/currantlead/sessions/failover/commit_reports.py
+++ b/src/currantlead/sessions/failover/commit_reports.py
@@ -5,7 +5,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable, Sequence
 from typing import Any
 
 from currantlead import errors, logs
@@ -15,6 +15,8 @@
 
 ACKNOWLEDGED = "acknowledged"
 BOUNDS, UP_S = "bounds", "up_s"
+MAX_VMS = 16
+"""Number of VMs up to which all are asked."""
 ANSWER_TIMEOUT_S = 0.3
 """Time limit of an answer: several round trips between regions (50 ms) on a busy machine."""
 
@@ -27,13 +29,14 @@
 
     Attributes:
         acknowledged: Bounds of the latest acknowledged commit that any of them knows.
-        since: Clock reading since which all of them have kept account, in seconds; infinite if one did not answer.
-        silent: VMs that did not answer.
+        since: Clock reading since which all VMs through which commits pass have kept account, in seconds; infinite if
+            one of them did not answer.
+        unanswered: VMs that did not answer.
     """
 
     acknowledged: acknowledgements.Acknowledged
     since: float
-    silent: tuple[str, ...] = ()
+    unanswered: frozenset[str] = frozenset()
 
 
 class CommitReports:
@@ -43,6 +46,8 @@
         peers: Streams to the other VMs.
         acknowledged: What this VM knows about acknowledged commits.
         sources: Returns the VMs through which the commits at a primary pass; None stands for an unknown primary.
+        members: Returns all VMs. Up to ``MAX_VMS`` are asked in any case, because the VM of a caller knows the bounds
+            of its commits better than a holder, and a holder may be gone.
     """
 
     def __init__(
@@ -50,28 +55,42 @@
         peers: network.Network,
         acknowledged: acknowledgements.AcknowledgedCommits,
         sources: Callable[[model.Instance | None], Iterable[str]],
+        members: Callable[[], Sequence[str]],
     ):
+        self._members = members
         self._peers = peers
         self._acknowledged = acknowledged
         self._sources = sources
         self._started_at = clock.now()
         peers.handler(ACKNOWLEDGED)(self._handle_request)
 
-    async def collect(self, service: str, primary: model.Instance | None) -> CommitReport:
-        """Ask the VMs through which commits pass what was acknowledged to callers.
+    def acknowledged(self, service: str) -> acknowledgements.Acknowledged:
+        """Return what this VM knows about the acknowledged commits of a service."""
+        return self._acknowledged.of(service)
+
+    async def collect(
+        self, service: str, primary: model.Instance | None, *, skipped: Collection[str] = ()
+    ) -> CommitReport:
+        """Ask the VMs what was acknowledged to callers; the report is complete if those on the way have answered.
 
         Args:
             service: The service.
             primary: Its present primary, or None if it is unknown.
+            skipped: VMs that are not asked, because they did not answer just before; they count as silent.
         """
-        vms = [vm for vm in self._sources(primary) if vm != self._peers.member.vm]
+        sources = list(self._sources(primary))
+        others = self._members() if len(self._members()) <= MAX_VMS else ()
+        own = self._peers.member.vm
+        vms = [vm for vm in dict.fromkeys([*sources, *others]) if vm != own and vm not in skipped]
         answers = await asyncio.gather(*(self._ask(vm, service) for vm in vms))
         known = [answer for answer in answers if answer is not None]
-        silent = tuple(vm for vm, answer in zip(vms, answers, strict=True) if answer is None)
+        answered = {vm for vm, answer in zip(vms, answers, strict=True) if answer is not None}
+        unanswered = frozenset(skipped) | (set(vms) - answered)
         merged = acknowledgements.merge_all([self._acknowledged.of(service), *(bounds for bounds, _ in known)])
         self._acknowledged.merge(service, merged)
         since = max([self._started_at, *(up_since for _, up_since in known)])
-        return CommitReport(merged, float("inf") if silent else since, silent)
+        is_complete = unanswered.isdisjoint(sources)
+        return CommitReport(merged, since if is_complete else float("inf"), unanswered)
 
     async def _ask(self, vm: str, service: str) -> tuple[acknowledgements.Acknowledged, float] | None:
         """Return what a VM knows, and since when, or None if it did not answer."""
--- /dev/null
+++ b/src/currantlead/sessions/failover/instance_commands.py
@@ -0,0 +1,73 @@
+"""Status requests and commands of replication, sent to instances on connections of the proxy itself."""
+
+import asyncio
+from collections.abc import Iterable
+
+from currantlead import errors, logs
+from currantlead.platform import lines
+from currantlead.sessions import model
+from currantlead.sessions.instances import link
+
+STATUS_TIMEOUT_S = 0.5
+"""Time limit of a status request. A live instance answers within milliseconds; opening the connection takes up to 30 ms
+more."""
+ORGANISATION = "-"
+"""Organisation named on connections of the proxy itself, which belong to no caller."""
+CODEC = lines.InstanceCodec()
+
+_log = logs.part("succession")
+
+
+async def connect(instance: model.Instance) -> link.Link | None:
+    """Open a connection to an instance; return None if it cannot be reached, which is logged."""
+    try:
+        return await link.Link.connect(instance, ORGANISATION)
+    except errors.LinkRefusedError as error:
+        _log.bind(instance=instance.id).info("status request failed: {}", error)
+        return None
+
+
+async def connect_all(instances: Iterable[model.Instance], links: dict[str, link.Link]) -> None:
+    """Open connections to instances, and add those that can be reached to ``links``, by identity.
+
+    A connection is added as soon as it is open, so that the caller can close it if it is cancelled.
+    """
+
+    async def add(instance: model.Instance) -> None:
+        connection = await connect(instance)
+        if connection is not None:
+            links[instance.id] = connection
+
+    await asyncio.gather(*map(add, instances))
+
+
+async def send(connection: link.Link, message: bytes) -> model.InstanceStatus | None:
+    """Send a status request or a command; return the status in the answer, or None if there is none."""
+    try:
+        (reply,) = await connection.exchange(message, timeout_s=STATUS_TIMEOUT_S)
+        if reply.failure is not None or not reply.rows:
+            _log.bind(instance=connection.instance.id).info("status request refused: {}", reply.result)
+            return None
+        return CODEC.decode_status(reply.rows[0])
+    except (errors.LinkLostError, errors.MalformedFrameError) as error:
+        _log.bind(instance=connection.instance.id).info("status request failed: {}", error)
+        return None
+
+
+async def send_to_all(links: Iterable[link.Link], message: bytes) -> list[model.InstanceStatus | None]:
+    """Send a message on several connections; return the statuses in the answers."""
+    return list(await asyncio.gather(*(send(item, message) for item in links)))
+
+
+async def probe(instance: model.Instance) -> tuple[bool, bool]:
+    """Return whether an instance is alive, and whether it accepts connections.
+
+    One that refuses because it has too many connections is alive.
+    """
+    try:
+        connection = await link.Link.connect(instance, ORGANISATION)
+    except errors.LinkRefusedError as error:
+        return error.overloaded, error.overloaded
+    status = await send(connection, CODEC.encode_status())
+    connection.close()
+    return status is not None, True
--- /dev/null
+++ b/src/currantlead/sessions/failover/promotion.py
@@ -0,0 +1,350 @@
+"""One attempt to replace the primary of a service: the steps from the claim of the duty to the new primary.
+
+Three safeguards keep acknowledged commits, whatever happens between the steps. All replicas that may have acknowledged
+a commit have stopped receiving before one is chosen. The old primary is demoted, through another VM if this one cannot
+reach it. And the order is recorded before it is sent, after which VMs send no commits to another instance. What callers
+were told is compared with the choice, so that it is noticed if all of them fail.
+"""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from currantlead import errors, logs
+from currantlead.sessions import clock, model
+from currantlead.sessions.decisions import acknowledgements, election, promotion_choice, promotion_progress
+from currantlead.sessions.failover import commit_reports, instance_commands, promotion_calls, remote_demotion
+from currantlead.sessions.instances import fleet, link
+from currantlead.sessions.shared import duty_claims
+
+JOIN_WAIT_S = 0.1
+"""Time for this VM to learn of a replica that joined just before the old primary was demoted."""
+EFFECT_TIMEOUT_S = 3.0
+"""Time within which an accepted promotion takes effect; it takes 0.3 s to 1 s."""
+EFFECT_CHECK_INTERVAL_S = 0.1
+"""Interval between checks whether a promotion has taken effect."""
+CODEC = instance_commands.CODEC
+
+_log = logs.part("succession")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tools:
+    """What all attempts of a VM use.
+
+    Attributes:
+        instances: The known instances.
+        claims: Claims of the duties; the duty of a service's promotions has the service's name.
+        reports: Collects the other VMs' reports on acknowledged commits.
+        demotion: Demotes primaries through other VMs.
+        calls: Records orders and calls for promotions.
+        on_stage: Called with the service when its promotion reaches a stage.
+    """
+
+    instances: fleet.Fleet
+    claims: duty_claims.DutyClaims
+    reports: commit_reports.CommitReports
+    demotion: remote_demotion.RemoteDemotion
+    calls: promotion_calls.PromotionCalls
+    on_stage: Callable[[str, promotion_progress.Stage], None]
+
+
+class Promotion:
+    """Replaces the primary of a service once.
+
+    Args:
+        service: The service.
+        old: The old primary, or None if none is known.
+        tools: What the attempt uses.
+        connects: Whether this VM tries to connect to the old primary; another attempt at one that has just been
+            unreachable would only make the service wait for the whole timeout once more.
+        reached_by: Other VMs that have just reached the old primary, or None if they have not been asked.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        old: model.Instance | None,
+        tools: Tools,
+        *,
+        connects: bool = True,
+        reached_by: list[str] | None = None,
+    ):
+        self._service = service
+        self._old = old
+        self._tools = tools
+        self._connects = connects
+        self._reached_by = reached_by
+        self._generation = 0
+        self._term = 0
+        self._old_link: link.Link | None = None
+        self._links: dict[str, link.Link] = {}
+        self._silent_vms: frozenset[str] = frozenset()
+        self._keeps_pauses = False
+
+    async def run(self, reason: str) -> str:
+        """Run the attempt; return why it stopped, or an empty string if the service has a new primary.
+
+        Raises:
+            errors.PlatformUnavailableError: The store gave no usable response.
+            errors.MalformedObjectError: The store sent a malformed entry.
+        """
+        try:
+            _, refusal = await asyncio.gather(self._connect_old(), self._examine())
+            if refusal:
+                return refusal
+            refusal = await self._claim(reason)
+            if refusal:
+                return refusal
+            chosen = await self._stop_replication()
+            if isinstance(chosen, str):
+                await self._resume()
+                return chosen
+            self._tools.on_stage(self._service, promotion_progress.Stage.PAUSED)
+            return await self._order(chosen.instance)
+        except Exception:
+            await self._resume()
+            raise
+        finally:
+            for item in self._links.values():
+                item.close()
+            if self._old_link is not None:
+                self._old_link.close()
+
+    # Before the claim
+
+    async def _connect_old(self) -> None:
+        """Connect to the old primary, or find other VMs that reach it."""
+        if self._old is None:
+            return
+        if self._connects:
+            self._old_link = await instance_commands.connect(self._old)
+        if self._old_link is None and self._reached_by is None:
+            self._reached_by = await self._tools.demotion.find_vms(self._old)
+
+    async def _examine(self) -> str:
+        """Return why no replica could be promoted as things are, before anything is changed."""
+        report = await self._collect_report()
+        refusal = await self._connect_replicas()
+        if refusal:
+            return refusal
+        statuses = await self._read_statuses()
+        if len(statuses) < len(self._links):
+            return (
+                f"{len(self._links) - len(statuses)} of {len(self._links)} replicas did not answer the status request"
+            )
+        if any(status.role is model.Role.PRIMARY for status in statuses.values()):
+            return "a replica is already primary"
+        self._term = max((status.term for status in statuses.values()), default=0) + 1
+        latest = max((status.received for status in statuses.values()), default=acknowledgements.NO_POSITION)
+        return promotion_choice.explain_missing(self._describe([], 0, None, report), latest)
+
+    async def _collect_report(self) -> commit_reports.CommitReport:
+        report = await self._tools.reports.collect(self._service, self._old, skipped=self._silent_vms)
+        self._silent_vms = report.unanswered
+        return report
+
+    def _replicas(self) -> list[model.Instance]:
+        """Return the replicas that are known, and those that are gone from the store but may still receive."""
+        old_id = self._old.id if self._old is not None else ""
+        known = {tracked.instance.id: tracked.instance for tracked in self._tools.instances.instances_of(self._service)}
+        sent_at = self._tools.reports.acknowledged(self._service).sent_at
+        gone = {
+            item.instance.id: item.instance
+            for item in self._tools.instances.departures(self._service)
+            if item.gone_at >= sent_at and not item.instance.draining
+        }
+        return [instance for name, instance in (gone | known).items() if name != old_id]
+
+    async def _connect_replicas(self) -> str:
+        """Connect to the replicas that are not connected yet; return why they cannot be counted on."""
+        replicas = self._replicas()
+        new = [instance for instance in replicas if instance.id not in self._links]
+        await instance_commands.connect_all(new, self._links)
+        missing = [
+            instance.id
+            for instance in replicas
+            if instance.id not in self._links and self._tools.instances.get(instance.id) is not None
+        ]
+        if missing:
+            return f"{len(missing)} of {len(replicas)} replicas did not answer the status request"
+        return ""
+
+    async def _read_statuses(self) -> dict[str, model.InstanceStatus]:
+        """Return the statuses of the connected replicas that answer."""
+        statuses = await instance_commands.send_to_all(self._links.values(), CODEC.encode_status())
+        return {name: status for name, status in zip(self._links, statuses, strict=True) if status is not None}
+
+    # From the claim to the choice
+
+    async def _claim(self, reason: str) -> str:
+        """Claim the duty, and close the order by which the old primary leads; return why that failed."""
+        claims = self._tools.claims
+        previous = claims.latest(self._service)
+        generation = await claims.claim(self._service, election.CLAIM_EXCLUSIVITY_S)
+        if generation is None:
+            return "another VM holds the promotion duty"
+        self._generation = generation
+        open_order = self._open_order()
+        self._bind(previous_holder=previous and previous.holder, open_order=open_order).info(
+            "promotion began: {}", reason
+        )
+        if self._old is None or open_order != self._old.id:
+            return ""
+        # One of its calls, carried out after the demotion, would make the old primary lead again.
+        order = promotion_calls.Order(self._service, open_order, generation, unanswered=1)
+        closed = await self._tools.calls.close(order)
+        if closed is None:
+            return "the order for the old primary could not be closed"
+        self._generation = closed.generation
+        return ""
+
+    def _open_order(self) -> str:
+        latest = self._tools.claims.latest(self._service)
+        return latest.ordered if latest is not None else ""
+
+    async def _stop_replication(self) -> promotion_choice.PausedReplica | str:
+        """Pause all replicas, demote the old primary, and return the instance to promote or why there is none."""
+        demoted, _ = await asyncio.gather(self._demote(), self._pause(self._links.values()))
+        if demoted is not None:
+            await asyncio.sleep(JOIN_WAIT_S)
+        connected = set(self._links)
+        refusal = await self._connect_replicas()
+        if refusal:
+            return refusal
+        await self._pause([item for name, item in self._links.items() if name not in connected])
+        report = await self._collect_report()
+        statuses = await self._read_statuses()
+        paused = [
+            promotion_choice.PausedReplica(name, status.received, self._is_promotable(name))
+            for name, status in statuses.items()
+            if status.role is model.Role.REPLICA and status.paused_term >= self._term
+        ]
+        situation = self._describe(paused, len(self._links), demoted, report)
+        chosen = promotion_choice.choose_replica(situation)
+        self._log_choice(situation, report, chosen)
+        return chosen
+
+    async def _demote(self) -> promotion_choice.PausedReplica | None:
+        """Demote the old primary; return its position, or None if it has not confirmed that it leads no more."""
+        if self._old is None:
+            return None
+        status = None
+        if self._old_link is not None:
+            status = await instance_commands.send(self._old_link, CODEC.encode_demote(self._term))
+        elif self._reached_by:
+            status = await self._tools.demotion.demote(self._reached_by, self._old, self._term)
+        self._bind(
+            instance=self._old.id, position=str(status.received) if status else None, through=self._reached_by
+        ).info("demotion of the old primary requested")
+        if status is None or status.role is model.Role.PRIMARY:
+            return None
+        return promotion_choice.PausedReplica(self._old.id, status.received, self._is_promotable(self._old.id))
+
+    async def _pause(self, links: Iterable[link.Link]) -> None:
+        await instance_commands.send_to_all(links, CODEC.encode_pause(self._term))
+
+    def _is_promotable(self, instance_id: str) -> bool:
+        tracked = self._tools.instances.get(instance_id)
+        return tracked is not None and self._tools.instances.accepts_reads(tracked)
+
+    def _describe(
+        self,
+        paused: list[promotion_choice.PausedReplica],
+        replicas: int,
+        demoted: promotion_choice.PausedReplica | None,
+        report: commit_reports.CommitReport,
+    ) -> promotion_choice.Situation:
+        departed = [
+            promotion_choice.Departed(item.instance.id, item.gone_at)
+            for item in self._tools.instances.departures(self._service)
+            if item.instance.id not in self._links
+        ]
+        return promotion_choice.Situation(
+            paused, replicas, demoted, report.acknowledged, report.since, departed, self._open_order()
+        )
+
+    def _log_choice(
+        self,
+        situation: promotion_choice.Situation,
+        report: commit_reports.CommitReport,
+        chosen: promotion_choice.PausedReplica | str,
+    ) -> None:
+        """Log the choice with all that it was based on."""
+        now = clock.now()
+        acknowledged = report.acknowledged
+        self._bind(
+            positions={item.instance: str(item.received) for item in situation.paused},
+            demoted=str(situation.demoted.received) if situation.demoted is not None else None,
+            gone_s={item.instance: round(now - item.gone_at, 2) for item in situation.departed},
+            acknowledged=[str(acknowledged.at_least), str(acknowledged.at_most)],
+            last_sent_s=round(now - acknowledged.sent_at, 2) if acknowledged.sent_at > float("-inf") else None,
+            silent_vms=sorted(report.unanswered),
+            open_order=situation.ordered,
+        ).info("{}", f"no promotion: {chosen}" if isinstance(chosen, str) else f"promoting {chosen.instance}")
+
+    # From the order to its end
+
+    async def _order(self, instance_id: str) -> str:
+        """Record the order and call for the promotion; return why it failed, or an empty string."""
+        # Also if the answer of the store is lost, because other VMs may act on the order.
+        self._keeps_pauses = True
+        order = await self._tools.calls.record(self._service, self._generation, instance_id)
+        if order is None:
+            return "another VM has claimed the promotion duty"
+        self._generation = order.generation
+        refusal = await self._tools.calls.call(order)
+        if refusal:
+            if not order.unanswered and await self._tools.calls.close(order) is not None:
+                self._keeps_pauses = False
+                await self._resume()
+            return refusal
+        self._tools.on_stage(self._service, promotion_progress.Stage.REQUESTED)
+        self._tools.instances.mark_promoted(instance_id)
+        try:
+            await self._finish(order)
+        except (errors.PlatformUnavailableError, errors.MalformedObjectError) as error:
+            self._bind().warning("the order stays open, store error: {}", error)
+        return ""
+
+    async def _finish(self, order: promotion_calls.Order) -> None:
+        """Resume the replicas that are still paused once the new primary leads, and close the order."""
+        if not await self._await_effect(order.instance_id):
+            self._bind(instance=order.instance_id).warning("the promoted instance does not say that it leads")
+            return
+        # A promotion ends only the pauses for earlier terms; an overlapping attempt may have paused for later ones.
+        statuses = await self._read_statuses()
+        paused = [self._links[name] for name, status in statuses.items() if status.paused_term]
+        if paused and await self._tools.claims.is_current(self._service, self._generation):
+            self._bind(instances=[item.instance.id for item in paused]).info("resuming paused replicas")
+            await instance_commands.send_to_all(paused, CODEC.encode_resume())
+        await self._tools.calls.close(order)
+
+    async def _await_effect(self, instance_id: str) -> bool:
+        """Wait until an instance says that it leads; return whether it did in time."""
+        if instance_id not in self._links and self._old is not None:
+            # The old primary leads again.
+            await instance_commands.connect_all([self._old], self._links)
+        deadline = clock.now() + EFFECT_TIMEOUT_S
+        while instance_id in self._links and clock.now() < deadline:
+            status = await instance_commands.send(self._links[instance_id], CODEC.encode_status())
+            if status is None:
+                return False
+            if status.role is model.Role.PRIMARY:
+                return True
+            await asyncio.sleep(EFFECT_CHECK_INTERVAL_S)
+        return False
+
+    async def _resume(self) -> None:
+        """Resume replication, unless an order may take effect or another VM may rely on the pauses."""
+        if self._keeps_pauses or not self._generation:
+            return
+        try:
+            if await self._tools.claims.is_current(self._service, self._generation):
+                await instance_commands.send_to_all(self._links.values(), CODEC.encode_resume())
+        except (errors.PlatformUnavailableError, errors.MalformedObjectError) as error:
+            self._bind().warning("replicas stay paused, store error: {}", error)
+
+    def _bind(self, **facts: object) -> Any:
+        return _log.bind(service=self._service, generation=self._generation, **facts)
--- /dev/null
+++ b/src/currantlead/sessions/failover/remote_demotion.py
@@ -0,0 +1,100 @@
+"""Demotion of a primary through other VMs, for a VM that cannot reach it.
+
+Otherwise the primary could acknowledge commits of the VMs that reach it, with a replica that joins or restarts after
+the others were paused.
+"""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from currantlead import errors, logs
+from currantlead.peers import network
+from currantlead.sessions import model
+from currantlead.sessions.failover import instance_commands
+from currantlead.sessions.instances import fleet
+
+REACH, DEMOTE = "reach", "demote"
+REACHED, ROW = "reached", "row"
+MAX_VMS = 6
+"""Number of VMs that are asked; each opens a connection to the primary, which accepts few."""
+REACH_TIMEOUT_S = 0.7
+"""Time limit of the question whether a VM reaches an instance, a little above the limit of opening a connection."""
+DEMOTE_TIMEOUT_S = 0.4
+"""Time limit of a demotion by a VM that has just reached the instance."""
+
+_log = logs.part("succession")
+
+
+class RemoteDemotion:
+    """Asks other VMs to demote an instance, and does so for them.
+
+    Args:
+        peers: Streams to the other VMs.
+        instances: The known instances.
+        helpers: Returns the VMs that may be asked to reach an instance, the most suitable first.
+    """
+
+    def __init__(
+        self, peers: network.Network, instances: fleet.Fleet, helpers: Callable[[model.Instance], Sequence[str]]
+    ):
+        self._peers = peers
+        self._fleet = instances
+        self._helpers = helpers
+        peers.handler(REACH)(self._handle_reach)
+        peers.handler(DEMOTE)(self._handle_demote)
+
+    async def find_vms(self, instance: model.Instance) -> list[str]:
+        """Return other VMs that reach an instance."""
+        vms = [vm for vm in self._helpers(instance) if vm != self._peers.member.vm][:MAX_VMS]
+        answers = await asyncio.gather(*(self._ask(vm, REACH, instance, 0, REACH_TIMEOUT_S) for vm in vms))
+        return [vm for vm, answer in zip(vms, answers, strict=True) if answer.get(REACHED)]
+
+    async def demote(self, vms: Sequence[str], instance: model.Instance, term: int) -> model.InstanceStatus | None:
+        """Let VMs demote an instance; return its status from the first that succeeded, or None."""
+        answers = await asyncio.gather(*(self._ask(vm, DEMOTE, instance, term, DEMOTE_TIMEOUT_S) for vm in vms))
+        statuses = [_decode_status(answer) for answer in answers]
+        return next((status for status in statuses if status is not None), None)
+
+    async def _ask(self, vm: str, kind: str, instance: model.Instance, term: int, timeout_s: float) -> dict[str, Any]:
+        try:
+            return await self._peers.request(vm, kind, {"instance": instance.id, "term": term}, timeout_s=timeout_s)
+        except (errors.PeerUnreachableError, errors.PeerAnswerLostError) as error:
+            _log.bind(instance=instance.id, peer=vm).info("VM did not say whether it reaches the instance: {}", error)
+            return {}
+
+    async def _handle_reach(self, vm: str, body: dict[str, Any]) -> dict[str, Any]:
+        tracked = self._fleet.get(body["instance"])
+        connection = await instance_commands.connect(tracked.instance) if tracked is not None else None
+        if connection is None:
+            return {REACHED: False}
+        connection.close()
+        return {REACHED: True}
+
+    async def _handle_demote(self, vm: str, body: dict[str, Any]) -> dict[str, Any]:
+        tracked = self._fleet.get(body["instance"])
+        connection = await instance_commands.connect(tracked.instance) if tracked is not None else None
+        if connection is None:
+            return {}
+        status = await instance_commands.send(connection, instance_commands.CODEC.encode_demote(int(body["term"])))
+        connection.close()
+        _log.bind(instance=body["instance"], peer=vm, status=status and dataclasses.asdict(status)).info(
+            "demoted an instance for another VM" if status is not None else "could not demote an instance"
+        )
+        if status is None:
+            return {}
+        return {ROW: [status.role.value, status.term, status.received.term, status.received.number, status.paused_term]}
+
+
+def _decode_status(answer: dict[str, Any]) -> model.InstanceStatus | None:
+    """Decode the status in a VM's answer; return None if it has none or a malformed one, which is logged."""
+    if ROW not in answer:
+        return None
+    try:
+        role, term, received_term, received_number, paused_term = answer[ROW]
+        received = model.Position(int(received_term), int(received_number))
+        return model.InstanceStatus(model.Role(role), int(term), received, int(paused_term))
+    except (TypeError, ValueError) as error:
+        _log.warning("ignoring a malformed status from another VM: {!r}", error)
+        return None
--- a/src/currantlead/sessions/instances/fleet.py
+++ b/src/currantlead/sessions/instances/fleet.py
@@ -9,6 +9,7 @@
 from currantlead.platform import objects
 from currantlead.sessions import clock, model, settings
 from currantlead.sessions.decisions import election
+from currantlead.sessions.instances import replacements
 
 LAPSE_GRACE_S = 2.0
 """Time for which a lapsed instance is kept; entries are back about two seconds after an outage of the store."""
@@ -25,9 +26,6 @@
 LAGGING_DURATION_S = 0.8
 """Time for which a replica that lacked a position is taken to lack it; the VMs of a failure domain share this knowledge
 every 0.5 s."""
-DEPARTURE_RETENTION_S = 20.0
-"""Time for which an instance that is gone is remembered. VMs that are gone for good leave the members after this time,
-so that the reports of the others are complete."""
 NOT_PRIMARY_DURATION_S = 0.5
 """Time after which an instance that refused because it is not the primary is taken for the primary again, unless the
 store names another one."""
@@ -43,6 +41,7 @@
         instance: The most recent entry of the store.
         primary_since: Revision at which the entry first named it primary, or 0.
         draining_since: Earliest clock reading at which it may have begun to drain, or None.
+        demoted_at: Clock reading at which its entry first named it a replica after it had led, or None.
         lapsed_at: Clock reading at which its entry disappeared although it was not draining, or None.
         suspect_until: Clock reading until which other instances are preferred.
         not_primary_at: Clock reading at which it refused because it is not the primary, or None.
@@ -54,6 +53,7 @@
     instance: model.Instance
     primary_since: int = 0
     draining_since: float | None = None
+    demoted_at: float | None = None
     lapsed_at: float | None = None
     suspect_until: float = 0.0
     not_primary_at: float | None = None
@@ -62,19 +62,6 @@
     stuck_since: float | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Departure:
-    """An instance that is gone, with its log.
-
-    Attributes:
-        instance: Its last entry.
-        gone_at: Clock reading at which it was known to be gone.
-    """
-
-    instance: model.Instance
-    gone_at: float
-
-
 class Symptom(enum.Enum):
     """A sign that an instance may have failed."""
 
@@ -103,7 +90,8 @@
         self._evacuated_since: dict[str, float] = {}
         self._last_promotion_at: dict[str, float] = {}
         self._absent_since: dict[str, float] = {}
-        self._departures: list[Departure] = []
+        self._departures = replacements.Departures()
+        self._orders = replacements.OpenOrders()
         self._changed = asyncio.Event()
         self.on_symptom: Callable[[str, Symptom, str], None] = lambda instance_id, symptom, reason: None
 
@@ -150,16 +138,18 @@
             not tracked.primary_since or tracked.instance.role is not model.Role.PRIMARY
         ):
             tracked.primary_since = instance.revision
-            tracked.not_primary_at = tracked.failing_since = tracked.stuck_since = None
+            tracked.not_primary_at = tracked.failing_since = tracked.stuck_since = tracked.demoted_at = None
             self._last_promotion_at[instance.service] = clock.now()
             _log.bind(instance=instance.id, service=instance.service).info("instance is primary")
         elif instance.role is model.Role.REPLICA and tracked.instance.role is model.Role.PRIMARY:
+            tracked.demoted_at = clock.now()
             # A restored store may name an old primary at a later revision than the present one.
             others = (other for other in self.instances_of(instance.service) if other is not tracked)
             if any(other.instance.role is model.Role.PRIMARY for other in others):
                 tracked.primary_since = 0
         tracked.instance = instance
         tracked.lapsed_at = None
+        self._orders.end_in_effect(instance)
         if not instance.draining:
             tracked.draining_since = None
         elif tracked.draining_since is None:
@@ -206,15 +196,12 @@
         if not of_service:
             del self._by_service[instance.service]
 
-    def departures(self, service: str) -> list[Departure]:
-        """Return the instances of a service that are gone since less than ``DEPARTURE_RETENTION_S`` seconds."""
-        since = clock.now() - DEPARTURE_RETENTION_S
-        self._departures = [item for item in self._departures if item.gone_at > since]
-        return [item for item in self._departures if item.instance.service == service]
+    def departures(self, service: str) -> list[replacements.Departure]:
+        """Return the replicas of a service that have left recently."""
+        return self._departures.of(service)
 
     def _record_departure(self, tracked: TrackedInstance) -> None:
-        gone_at = tracked.lapsed_at if tracked.lapsed_at is not None else clock.now()
-        self._departures.append(Departure(tracked.instance, gone_at))
+        self._departures.record(tracked.instance, tracked.lapsed_at if tracked.lapsed_at is not None else clock.now())
 
     def set_evacuated_domains(self, domains: Iterable[str], since: float) -> None:
         """Set the evacuated failure domains, whose instances must get no new work.
@@ -246,16 +233,50 @@
         return set(self._instances)
 
     def primary(self, service: str) -> TrackedInstance | None:
-        """Return the instance that was named primary last, or None; it does not necessarily accept new work."""
+        """Return the instance that gets the work for the primary, or None; it does not necessarily accept new work.
+
+        While an order is open, only the ordered instance may get commits: the instances that are promoted or paused may
+        lack what any other one acknowledges.
+        """
         now = clock.now()
+        order = self._orders.of(service)
+        if order is not None:
+            ordered = self._instances.get(order.instance_id)
+            return ordered if ordered is not None and _may_lead(ordered, now) else None
         candidates = [
-            tracked
-            for tracked in self.instances_of(service)
-            if tracked.primary_since
-            and (tracked.not_primary_at is None or now - tracked.not_primary_at > NOT_PRIMARY_DURATION_S)
+            tracked for tracked in self.instances_of(service) if tracked.primary_since and _may_lead(tracked, now)
         ]
         return max(candidates, key=lambda tracked: tracked.primary_since, default=None)
 
+    def leader(self, service: str) -> TrackedInstance | None:
+        """Return the instance that was named primary last, or None, whatever order is open."""
+        primary = max(self.instances_of(service), key=lambda tracked: tracked.primary_since, default=None)
+        return primary if primary is not None and primary.primary_since else None
+
+    def set_order(self, service: str, instance_id: str, revision: int) -> None:
+        """Apply the order that the store has for a service.
+
+        Args:
+            service: The service.
+            instance_id: Instance whose promotion may still take effect; empty if there is none.
+            revision: Revision at which the store recorded it.
+        """
+        is_new = self._orders.replace(service, instance_id, revision)
+        tracked = self._instances.get(instance_id)
+        if tracked is not None:
+            self._orders.end_in_effect(tracked.instance)
+        if is_new:
+            _log.bind(service=service, instance=instance_id or None).info(
+                "commits wait for the ordered instance" if instance_id else "no order is open"
+            )
+            self._notify_waiters()
+
+    def is_replaced(self, instance_id: str) -> bool:
+        """Return whether an open order names another instance of the service, so that this one may get no commits."""
+        tracked = self._instances.get(instance_id)
+        order = self._orders.of(tracked.instance.service) if tracked is not None else None
+        return order is not None and order.instance_id != instance_id
+
     def accepts_reads(self, tracked: TrackedInstance) -> bool:
         """Return whether an instance may get new reads."""
         return not tracked.instance.draining and tracked.instance.domain not in self._evacuated_since
@@ -346,11 +367,14 @@
     def observe_primary(self, service: str) -> election.Observation:
         """Return the state of a service's primary, for the decision whether to replace it."""
         now = clock.now()
-        primary = max(self.instances_of(service), key=lambda tracked: tracked.primary_since, default=None)
-        if primary is None or not primary.primary_since:
+        primary = self.leader(service)
+        if primary is None:
             return election.Observation(absent_s=now - self._absent_since.setdefault(service, now))
         self._absent_since.pop(service, None)
+        order = self._orders.of(service)
         return election.Observation(
+            demoted_s=now - primary.demoted_at if primary.demoted_at is not None else 0.0,
+            ordered_s=now - order.since if order is not None else 0.0,
             lapsed=primary.lapsed_at is not None,
             leaving=self.needs_handover(primary),
             failing_s=now - primary.failing_since if primary.failing_since is not None else 0.0,
@@ -372,7 +396,7 @@
         if tracked is not None:
             latest = max((item.primary_since for item in self.instances_of(tracked.instance.service)), default=0)
             tracked.primary_since = latest + 1
-            tracked.not_primary_at = tracked.failing_since = tracked.stuck_since = None
+            tracked.not_primary_at = tracked.failing_since = tracked.stuck_since = tracked.demoted_at = None
             self._last_promotion_at[tracked.instance.service] = clock.now()
         self._notify_waiters()
 
@@ -407,6 +431,11 @@
         self._changed = asyncio.Event()
 
 
+def _may_lead(tracked: TrackedInstance, now: float) -> bool:
+    """Return whether an instance has not just refused a statement because it is not the primary."""
+    return tracked.not_primary_at is None or now - tracked.not_primary_at > NOT_PRIMARY_DURATION_S
+
+
 def _reconcile(known: model.Instance, entry: model.Instance) -> model.Instance:
     """Return an instance's entry without what a restored store has forgotten of it.
 
--- /dev/null
+++ b/src/currantlead/sessions/instances/replacements.py
@@ -0,0 +1,92 @@
+"""What happens to the instances of services while primaries are replaced: open orders, and instances that are gone."""
+
+import dataclasses
+
+from currantlead.sessions import clock, model
+
+DEPARTURE_RETENTION_S = 20.0
+"""Time for which an instance that is gone is remembered. VMs that are gone for good leave the members after this time,
+so that the reports of the others are complete."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Departure:
+    """An instance that is gone, with its log.
+
+    Attributes:
+        instance: Its last entry.
+        gone_at: Clock reading at which it was known to be gone.
+    """
+
+    instance: model.Instance
+    gone_at: float
+
+
+class Departures:
+    """Remembers the replicas that are gone, which may have had the only copy of an acknowledged commit."""
+
+    def __init__(self) -> None:
+        self._departures: list[Departure] = []
+
+    def record(self, instance: model.Instance, gone_at: float) -> None:
+        """Record that an instance is gone, unless it led: what a primary acknowledged is on a replica, too."""
+        if instance.role is model.Role.REPLICA:
+            self._departures.append(Departure(instance, gone_at))
+
+    def of(self, service: str) -> list[Departure]:
+        """Return the instances of a service that are gone since less than ``DEPARTURE_RETENTION_S`` seconds."""
+        since = clock.now() - DEPARTURE_RETENTION_S
+        self._departures = [item for item in self._departures if item.gone_at > since]
+        return [item for item in self._departures if item.instance.service == service]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OpenOrder:
+    """A promotion that was called for and is not known to have taken effect.
+
+    Attributes:
+        instance_id: Identity of the instance.
+        revision: Revision at which the store recorded the order.
+        since: Clock reading at which an order for this instance was first known.
+    """
+
+    instance_id: str
+    revision: int
+    since: float
+
+
+class OpenOrders:
+    """Holds the open order of each service."""
+
+    def __init__(self) -> None:
+        self._orders: dict[str, OpenOrder] = {}
+
+    def of(self, service: str) -> OpenOrder | None:
+        """Return the open order of a service, or None."""
+        return self._orders.get(service)
+
+    def replace(self, service: str, instance_id: str, revision: int) -> bool:
+        """Replace the order of a service by the one that the store has; return whether it is for another instance.
+
+        Args:
+            service: The service.
+            instance_id: Instance whose promotion may still take effect; empty if there is none.
+            revision: Revision at which the store recorded it.
+        """
+        known = self._orders.pop(service, None)
+        is_same = (known.instance_id if known is not None else "") == instance_id
+        if instance_id:
+            since = known.since if known is not None and is_same else clock.now()
+            self._orders[service] = OpenOrder(instance_id, revision, since)
+        return not is_same
+
+    def end_in_effect(self, instance: model.Instance) -> None:
+        """End the order for an instance whose entry shows that it leads since the order."""
+        order = self._orders.get(instance.service)
+        if (
+            order is not None
+            and order.instance_id == instance.id
+            and instance.role is model.Role.PRIMARY
+            and instance.revision > order.revision
+        ):
+            del self._orders[instance.service]
--- a/src/currantlead/sessions/model.py
+++ b/src/currantlead/sessions/model.py
@@ -159,6 +159,32 @@
     capacity: float | None = None
 
 
+class DutyStage(enum.Enum):
+    """Stage of a duty that its holder has recorded."""
+
+    CLAIMED = "claimed"
+    """The holder may act."""
+    ORDERED = "ordered"
+    """The holder calls for the promotion of an instance."""
+    ENDED = "ended"
+    """The holder is done."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Duty:
+    """Describe a duty as the store has it.
+
+    Attributes:
+        holder: VM that claimed it last.
+        stage: Stage that the holder has reached.
+        ordered: Instance that a call names which may still be carried out; empty if there is none.
+    """
+
+    holder: str
+    stage: DutyStage = DutyStage.CLAIMED
+    ordered: str = ""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class InstanceStatus:
     """Hold an instance's response to a status request.
--- a/src/currantlead/sessions/routing/execution.py
+++ b/src/currantlead/sessions/routing/execution.py
@@ -136,6 +136,8 @@
             commits=commits and lease.wrote,
         )
         known_before, sent_at = self._latest_position(context), clock.now()
+        if order.commits and self._fleet.is_replaced(instance_id):
+            raise errors.LinkLostError(f"{instance_id} is being replaced as the primary", sent=False)
         try:
             report = await lease.transaction.run(order)
         except errors.LinkLostError as error:
--- a/src/currantlead/sessions/routing/targets.py
+++ b/src/currantlead/sessions/routing/targets.py
@@ -275,6 +275,10 @@
     def check(self, target: operations.Target) -> statements.Failure | None:
         """Return why the instance no longer accepts statements after the wait for a connection, or None."""
         tracked = self._fleet.get(target.tracked.instance.id)
+        if target.after is None and self._fleet.is_replaced(target.tracked.instance.id):
+            return statements.Failure(
+                statements.Code.BUSY, f"{target.tracked.instance.id} is being replaced as the primary"
+            )
         if tracked is not None and self._accepts_work(tracked):
             return None
         return statements.Failure(statements.Code.BUSY, f"{target.tracked.instance.id} accepts no new work")
--- a/src/currantlead/sessions/shared/shared_state.py
+++ b/src/currantlead/sessions/shared/shared_state.py
@@ -17,8 +17,8 @@
 be in force. A watch may miss a change and stay silent to its end, so its duration limits the age of the copy; the rest
 of the time is for relays, for the promotion of another primary, and for statements that wait."""
 DUTIES_WAIT_S = 20.0
-"""Duration of the watch of the duties. A claim reads the duty's entry from the store, so nothing depends on the age of
-the copy."""
+"""Duration of the watch of the duties. A claim reads the duty's entry from the store, and a VM that learns late of an
+order only sends commits to a primary whose replicas are paused, so no rule depends on the age of the copy."""
 
 _log = logs.part("daemon")
 
@@ -170,4 +170,5 @@
 
     def _apply_duties(self, present: tuple[objects.StoredObject, ...]) -> None:
         for stored in present:
-            self._claims.record(stored.name, objects.decode_duty(stored), stored.revision)
+            duty = objects.decode_duty(stored)
+            self._claims.record(stored.name, duty.holder, stored.revision, duty.stage, duty.ordered)
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -1,12 +1,9 @@
-"""Tests of the decisions of a failover: when a primary is replaced, by which VM, and which replica is promoted."""
+"""Tests of the decisions of a failover: when a primary is replaced, and by which VM."""
 
 import pytest
 
-from currantlead.sessions import model
 from currantlead.sessions.decisions import election
 
-P = model.Position
-
 
 @pytest.mark.parametrize(
     ("observed", "reason"),
@@ -20,6 +17,8 @@
         (election.Observation(failing_s=0.5), "silent"),
         (election.Observation(stuck_s=0.5), ""),
         (election.Observation(stuck_s=0.7), "commits are stuck"),
+        (election.Observation(ordered_s=2.4), ""),
+        (election.Observation(ordered_s=2.5), "order is open"),
         (election.Observation(stuck_s=1.3, since_promotion_s=2.0), ""),
     ],
 )
@@ -34,22 +33,3 @@
     ranks = [election.rank("svc", name, members) for name in members]
     assert sorted(ranks) == list(range(7))
     assert [election.rank("other", name, members) for name in members] != ranks
-
-
-@pytest.mark.parametrize(
-    ("paused", "replicas", "expected"),
-    [
-        ([("b", P(1, 5), True), ("a", P(1, 5), True)], 2, "a"),
-        ([("b", P(1, 6), True), ("a", P(1, 5), True)], 2, "b"),
-        ([("b", P(1, 9), True), ("a", P(2, 1), True)], 2, "a"),
-        ([("b", P(1, 5), True), ("a", P(1, 5), False)], 2, "b"),
-        ([("b", P(1, 5), True), ("a", P(1, 6), False)], 2, None),
-        ([("b", P(1, 5), True)], 2, None),
-        ([("b", P(1, 5), True)], 1, None),
-        ([], 0, None),
-    ],
-)
-def test_choose_loses_no_commit(paused, replicas, expected):
-    """Only a replica with the most recent position is promoted, and only if every replica is paused."""
-    result = election.choose_replica([election.PausedReplica(*item) for item in paused], replicas)
-    assert (result.instance if isinstance(result, election.PausedReplica) else None) == expected
--- a/tests/test_promotions_at_once.py
+++ b/tests/test_promotions_at_once.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from currantlead.sessions.failover import promotion_calls
 from tests import session_bed
 
 INTERVAL_S = 0.02
@@ -28,13 +29,14 @@
 
         bed.store.fault = answer_late
         bed.store.promote = lambda service, instance: True
-        failover = bed.daemon.failover
+        daemon = bed.daemon
+        calls = promotion_calls.PromotionCalls(daemon.store, daemon.duty_claims, daemon.settings.promotions, "vm-1")
 
         async def request(index, service):
             await asyncio.sleep(index * INTERVAL_S)
-            return await failover._request_promotion(service, "i-2", 10 + index)
+            return await calls.call(promotion_calls.Order(service, "i-2", 10 + index))
 
-        await failover._request_promotion("svc0", "i-2", 1)
+        await calls.call(promotion_calls.Order("svc0", "i-2", 1))
         received.clear()
         outcomes = await asyncio.gather(*(request(index, service) for index, service in enumerate(services)))
         assert outcomes == [""] * len(services)
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -6,7 +6,7 @@
 
 from currantlead.platform import objects
 from currantlead.sessions import clock, model, settings
-from currantlead.sessions.failover import succession
+from currantlead.sessions.failover import instance_commands
 from currantlead.sessions.instances import link
 from tests import session_bed
 from tests.standins import line_instance
@@ -35,7 +35,7 @@
     assert (await caller.query("READ a1"))[0] == "ROW x"
     assert (await caller.query("WRITE a2 y"))[0].startswith(f"DONE {bed.service.primary}")
     assert len(bed.store.promotions) == 1
-    assert 'promotions_total{result="promoted"} 1' in bed.daemon.metrics.render()
+    await wait_until(lambda: 'promotions_total{result="promoted"} 1' in bed.daemon.metrics.render())
 
 
 async def test_silent_primary_is_replaced(bed):
@@ -83,18 +83,23 @@
 @pytest.mark.parametrize("fault", ["lost", "reset", 429, 503])
 async def test_unanswered_call_is_repeated_with_the_same_generation(bed, fault):
     """A call without an answer may take effect later, so it is repeated unchanged and no other replica is promoted."""
-    remaining_faults = [3]
+    remaining_faults, numbers = [3], []
+    claims = bed.daemon.duty_claims
 
     def fail(method, path):
-        if path == "/promotion" and remaining_faults[0]:
-            remaining_faults[0] -= 1
-            return fault
+        if path == "/promotion":
+            numbers.append(claims.latest("svc1").generation)
+            if remaining_faults[0]:
+                remaining_faults[0] -= 1
+                return fault
         return None
 
     bed.store.fault = fail
     bed.register_instance("i-1", state="draining")
     await wait_until(lambda: remaining_faults[0] == 0 and bed.store.promotions)
-    assert len({(instance, fence) for _, instance, _, fence in bed.store.promotions}) == 1
+    await wait_until(lambda: claims.latest("svc1").stage is model.DutyStage.ENDED)
+    assert numbers[:4] == [bed.store.promotions[0][3]] * 4
+    assert len({instance for _, instance, _, _ in bed.store.promotions}) == 1
 
 
 async def test_higher_generation_stops_the_promotion(bed):
@@ -225,7 +230,7 @@
     monkeypatch.setattr(link.Link, "connect", record)
     bed.daemon.fleet.mark_suspect("i-1", "seen by the test")
     await wait_until(lambda: bed.service.primary != "i-1")
-    assert connected.count(("i-1", succession.ORGANISATION)) == 1
+    assert connected.count(("i-1", instance_commands.ORGANISATION)) == 1
 
 
 async def test_primary_that_others_reach_is_not_waited_for(bed):
