Replace a primary that was demoted by a VM which then failed

When the VM that promotes was killed between the demotion and the call, and the reason to replace the primary ended meanwhile, no VM saw a reason to act: writes failed until an operator stepped in. The primary's entry named it a replica, but only an entry that is gone, drains or fails was a reason.

A service whose last primary has been a replica for 2 s now gets a new primary. The old one is a candidate, too.

--- a/src/currantlead/sessions/decisions/election.py
+++ b/src/currantlead/sessions/decisions/election.py
@@ -24,6 +24,9 @@
 STUCK_COMMITS_COOLDOWN_S = 6.0
 """Time after a promotion in which stuck commits do not cause another. Otherwise a replica with broken replication would
 keep commits stuck and cause repeated promotions."""
+DEMOTION_TIMEOUT_S = 2.0
+"""Time after which a service whose primary was demoted gets a new one, because the VM that demoted it has failed. A
+promotion takes effect within 1.5 s of the demotion."""
 ORDER_TIMEOUT_S = 2.5
 """Time after which another VM repeats an open order. The holder of the duty repeats its call every 1.2 s."""
 
@@ -63,6 +66,8 @@
         return "entry lapsed"
     if observed.failing_s >= SILENCE_TIMEOUT_S:
         return "silent"
+    if observed.demoted_s >= DEMOTION_TIMEOUT_S:
+        return "demoted"
     if observed.ordered_s >= ORDER_TIMEOUT_S:
         return "order is open"
     if observed.stuck_s >= STUCK_COMMITS_TIMEOUT_S and observed.since_promotion_s >= STUCK_COMMITS_COOLDOWN_S:
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -17,6 +17,8 @@
         (election.Observation(failing_s=0.5), "silent"),
         (election.Observation(stuck_s=0.5), ""),
         (election.Observation(stuck_s=0.7), "commits are stuck"),
+        (election.Observation(demoted_s=1.9), ""),
+        (election.Observation(demoted_s=2.0), "demoted"),
         (election.Observation(ordered_s=2.4), ""),
         (election.Observation(ordered_s=2.5), "order is open"),
         (election.Observation(stuck_s=1.3, since_promotion_s=2.0), ""),
