Check at the holder whether an instance still accepts an order that waited

A VM checks an order just before it goes to a holder. It then waits there for a connection, and was sent although the instance's evacuation or drain had come into force meanwhile, or although another instance had been ordered to lead. The class is that of the commits lost in promotions: a state that is read once and trusted after it has changed.

--- a/src/currantlead/sessions/instances/fleet.py
+++ b/src/currantlead/sessions/instances/fleet.py
@@ -296,6 +296,11 @@
         )
         return not drain_bound_near and not evacuation_bound_near
 
+    def accepts_work(self, tracked: TrackedInstance) -> bool:
+        """Return whether an instance may get the work that its role allows."""
+        leads = self.primary(tracked.instance.service) is tracked
+        return self.accepts_primary_work(tracked) if leads else self.accepts_reads(tracked)
+
     def needs_handover(self, tracked: TrackedInstance) -> bool:
         """Return whether a primary has to be replaced because it drains or its failure domain is evacuated."""
         return tracked.instance.draining or tracked.instance.domain in self._evacuated_since
--- a/src/currantlead/sessions/instances/holders.py
+++ b/src/currantlead/sessions/instances/holders.py
@@ -165,9 +165,11 @@
                 order,
                 priority=body["priority"],
                 wait_s=body["wait_s"],
-                check=lambda: None,
+                check=lambda: self._check(tracked.instance.id, order),
                 limits=decode_limits(body.get("limits")),
             )
+        except errors.OrderRefusedError as error:
+            return {"refused": error.failure.detail}
         except errors.PoolUnavailableError as error:
             return {"refused": str(error), "suspect": self._fleet.is_suspect(tracked)} | _encode_delay(error)
         except errors.LinkRefusedError as error:
@@ -191,6 +193,15 @@
             ).debug("transaction opened for another VM")
         return self._encode_response(report, number)
 
+    def _check(self, instance_id: str, order: orders.Order) -> statements.Failure | None:
+        """Return why an instance gets the order no longer, after the wait for a connection, or None."""
+        tracked = self._fleet.get(instance_id)
+        if order.commits and self._fleet.is_replaced(instance_id):
+            return statements.Failure(statements.Code.BUSY, f"{instance_id} is being replaced as the primary")
+        if tracked is not None and self._fleet.accepts_work(tracked):
+            return None
+        return statements.Failure(statements.Code.BUSY, f"{instance_id} accepts no new work")
+
     def _encode_response(self, report: orders.Report, transaction: int | None) -> dict[str, Any]:
         response: dict[str, Any] = {"report": order_codec.encode_report(report), "transaction": transaction}
         if self.reports_times is not None and report.ran_s is not None and self.reports_times():
--- a/src/currantlead/sessions/routing/targets.py
+++ b/src/currantlead/sessions/routing/targets.py
@@ -139,7 +139,7 @@
         for tracked in self._fleet.instances_of(context.route.service):
             if (
                 tracked.instance.id in tried_ids
-                or not self._accepts_work(tracked)
+                or not self._fleet.accepts_work(tracked)
                 or not self._is_region_allowed(context, tracked)
             ):
                 continue
@@ -170,7 +170,7 @@
             remarks = {
                 "primary": tracked is primary,
                 "suspect": self._fleet.is_suspect(tracked),
-                "accepts no new work": not self._accepts_work(tracked),
+                "accepts no new work": not self._fleet.accepts_work(tracked),
                 "region not allowed": not self._is_region_allowed(context, tracked),
             }
             rows[tracked.instance.id] = {
@@ -234,7 +234,7 @@
             and tracked.lagging[0] <= after
             and now < tracked.lagging[1]
             and not self._fleet.is_suspect(tracked)
-            and self._accepts_work(tracked)
+            and self._fleet.accepts_work(tracked)
             and self._is_region_allowed(context, tracked)
         ]
         if not behind:
@@ -279,13 +279,9 @@
             return statements.Failure(
                 statements.Code.BUSY, f"{target.tracked.instance.id} is being replaced as the primary"
             )
-        if tracked is not None and self._accepts_work(tracked):
+        if tracked is not None and self._fleet.accepts_work(tracked):
             return None
         return statements.Failure(statements.Code.BUSY, f"{target.tracked.instance.id} accepts no new work")
 
-    def _accepts_work(self, tracked: fleet.TrackedInstance) -> bool:
-        is_primary = self._fleet.primary(tracked.instance.service) is tracked
-        return self._fleet.accepts_primary_work(tracked) if is_primary else self._fleet.accepts_reads(tracked)
-
     def _is_region_allowed(self, context: operations.Context, tracked: fleet.TrackedInstance) -> bool:
         return not context.regions or self._fleet.region(tracked) in context.regions
