Count lapsed instances until all commits are proved, and keep open orders in a new era

Two gaps in the comparison of promotions with acknowledged commits, found by reading:

- An instance whose entry has lapsed may only be cut off from the store and still receive commits, so a later acknowledged commit does not prove that its log is elsewhere.
Only instances that have drained or were started again are taken to have ended.
- A store restored from a copy lacks an order that is still open, and VMs would have sent commits to the old primary again.
An open order now outlives the restoration.

Also: the bound of what callers were told holds before the position of the demoted instance, which may not be the last primary; the metrics promotion_calls_total and open_orders.

--- a/src/currantlead/sessions/daemon.py
+++ b/src/currantlead/sessions/daemon.py
@@ -188,6 +188,7 @@
                 members=self._responsive_vms,
                 configured=lambda: self.configuration.services,
                 count_outcome=lambda outcome: self.metrics.count("promotions", result=outcome),
+                count_call=lambda result: self.metrics.count("promotion_calls", result=result),
                 on_stage=self.refusals.record_stage,
             )
             if config.promotions is not None
--- a/src/currantlead/sessions/decisions/promotion_choice.py
+++ b/src/currantlead/sessions/decisions/promotion_choice.py
@@ -6,7 +6,7 @@
 - It is as recent as the old primary, which leads no more.
 - It is as recent as the latest commit that a caller was told of, by the reports of all VMs.
 - It is the most recent of all replicas that may have acknowledged a commit, and all of these receive nothing more. An
-  instance that is gone no longer counts once a commit that was sent after its departure was acknowledged: the remaining
+  instance that has ended no longer counts once a commit that was sent after its end was acknowledged: the remaining
   replica that received this commit has all earlier ones.
 """
 
@@ -46,10 +46,13 @@
     Attributes:
         instance: Identity of the instance.
         gone_at: Clock reading at which it was known to be gone, in seconds.
+        has_ended: Whether its process is known to have ended by then. One whose entry has only lapsed may still receive
+            commits.
     """
 
     instance: str
     gone_at: float
+    has_ended: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -96,8 +99,10 @@
             if preferred:
                 return min(preferred, key=lambda item: item.instance)
         reason = "every replica with the latest commit is draining or evacuated"
-    # Without another choice the service would have no primary.
-    return reason if situation.demoted is None else situation.demoted
+    if situation.demoted is None or situation.demoted.received < situation.acknowledged.at_least:
+        return reason
+    # All commits are on the old primary, and without it the service would have none.
+    return situation.demoted
 
 
 def explain_missing(situation: Situation, position: model.Position) -> str:
@@ -108,11 +113,11 @@
         position: Position of the most recent replica.
     """
     acknowledged = situation.acknowledged
-    if situation.demoted is not None and position >= situation.demoted.received:
-        return ""
     if position < acknowledged.at_least:
         return f"callers were told of commits up to {acknowledged.at_least}, the replicas end at {position}"
-    uncovered = [item for item in situation.departed if acknowledged.sent_at <= item.gone_at]
+    if situation.demoted is not None and position >= situation.demoted.received:
+        return ""
+    uncovered = [item for item in situation.departed if not item.has_ended or acknowledged.sent_at <= item.gone_at]
     if not uncovered:
         return ""
     first_gone_at = min(item.gone_at for item in uncovered)
--- a/src/currantlead/sessions/failover/commit_reports.py
+++ b/src/currantlead/sessions/failover/commit_reports.py
@@ -64,10 +64,6 @@
         self._started_at = clock.now()
         peers.handler(ACKNOWLEDGED)(self._handle_request)
 
-    def acknowledged(self, service: str) -> acknowledgements.Acknowledged:
-        """Return what this VM knows about the acknowledged commits of a service."""
-        return self._acknowledged.of(service)
-
     async def collect(
         self, service: str, primary: model.Instance | None, *, skipped: Collection[str] = ()
     ) -> CommitReport:
--- a/src/currantlead/sessions/failover/promotion.py
+++ b/src/currantlead/sessions/failover/promotion.py
@@ -80,6 +80,7 @@
         self._term = 0
         self._old_link: link.Link | None = None
         self._links: dict[str, link.Link] = {}
+        self._tried: list[model.Instance] = []
         self._silent_vms: frozenset[str] = frozenset()
         self._keeps_pauses = False
 
@@ -149,18 +150,18 @@
         """Return the replicas that are known, and those that are gone from the store but may still receive."""
         old_id = self._old.id if self._old is not None else ""
         known = {tracked.instance.id: tracked.instance for tracked in self._tools.instances.instances_of(self._service)}
-        sent_at = self._tools.reports.acknowledged(self._service).sent_at
         gone = {
             item.instance.id: item.instance
             for item in self._tools.instances.departures(self._service)
-            if item.gone_at >= sent_at and not item.instance.draining
+            if not item.has_ended
         }
         return [instance for name, instance in (gone | known).items() if name != old_id]
 
     async def _connect_replicas(self) -> str:
         """Connect to the replicas that are not connected yet; return why they cannot be counted on."""
         replicas = self._replicas()
-        new = [instance for instance in replicas if instance.id not in self._links]
+        new = [instance for instance in replicas if instance.id not in self._links and instance not in self._tried]
+        self._tried += [instance for instance in new if self._tools.instances.get(instance.id) is None]
         await instance_commands.connect_all(new, self._links)
         missing = [
             instance.id
@@ -256,10 +257,11 @@
         demoted: promotion_choice.PausedReplica | None,
         report: commit_reports.CommitReport,
     ) -> promotion_choice.Situation:
+        connected = {(item.instance.id, item.instance.started_at_ms) for item in self._links.values()}
         departed = [
-            promotion_choice.Departed(item.instance.id, item.gone_at)
+            promotion_choice.Departed(item.instance.id, item.gone_at, item.has_ended)
             for item in self._tools.instances.departures(self._service)
-            if item.instance.id not in self._links
+            if (item.instance.id, item.instance.started_at_ms) not in connected
         ]
         return promotion_choice.Situation(
             paused, replicas, demoted, report.acknowledged, report.since, departed, self._open_order()
--- a/src/currantlead/sessions/failover/promotion_calls.py
+++ b/src/currantlead/sessions/failover/promotion_calls.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 
 from currantlead import errors, logs
 from currantlead.platform import calls, objects
@@ -48,9 +49,18 @@
         claims: Claims of the duties; the duty of a service's promotions has the service's name.
         address: Address that takes promotion calls.
         vm: Name of this VM.
+        count_call: Called with the result of each call, for metrics.
     """
 
-    def __init__(self, object_store: store.Store, claims: duty_claims.DutyClaims, address: settings.Address, vm: str):
+    def __init__(
+        self,
+        object_store: store.Store,
+        claims: duty_claims.DutyClaims,
+        address: settings.Address,
+        vm: str,
+        count_call: Callable[[str], None] = lambda result: None,
+    ):
+        self._count_call = count_call
         self._store = object_store
         self._claims = claims
         self._address = address
@@ -131,8 +141,10 @@
             response = await self._store.call(call, client, CALL_TIMEOUT_S)
         except errors.HttpUnavailableError as error:
             order.unanswered += 1
+            self._count_call("unanswered")
             log.warning("no answer to the promotion call: {}", error)
             return None
+        self._count_call("accepted" if response.status == objects.OK else "refused")
         if response.status != objects.OK:
             log.warning("promotion call rejected with status {}: {!r}", response.status, response.body[:200])
         return response.status
--- a/src/currantlead/sessions/failover/succession.py
+++ b/src/currantlead/sessions/failover/succession.py
@@ -43,6 +43,7 @@
         members: Returns the VMs that may promote, this one included.
         configured: Returns the services of the configuration; entries of instances may name others.
         count_outcome: Called with the outcome of each attempt, for metrics.
+        count_call: Called with the result of each promotion call, for metrics.
         on_stage: Called with the service when its promotion reaches a stage, on this VM or on another one.
     """
 
@@ -59,19 +60,14 @@
         members: Callable[[], list[str]],
         configured: Callable[[], Collection[str]],
         count_outcome: Callable[[str], None] = lambda outcome: None,
+        count_call: Callable[[str], None] = lambda result: None,
         on_stage: Callable[[str, promotion_progress.Stage], None] = lambda service, stage: None,
     ):
         self._fleet = instances
         self._claims = claims
         claims.on_claimed = self._handle_claim
-        self._tools = promotion.Tools(
-            instances,
-            claims,
-            reports,
-            demotion,
-            promotion_calls.PromotionCalls(shared, claims, promotions, vm),
-            on_stage,
-        )
+        calls = promotion_calls.PromotionCalls(shared, claims, promotions, vm, count_call)
+        self._tools = promotion.Tools(instances, claims, reports, demotion, calls, on_stage)
         self._vm = vm
         self._members = members
         self._configured = configured
--- a/src/currantlead/sessions/gauges.py
+++ b/src/currantlead/sessions/gauges.py
@@ -24,6 +24,7 @@
     daemon.metrics.register_gauge(
         "copy_age_seconds", lambda: {(("kind", kind),): age_s for kind, age_s in daemon.mirror.copy_ages().items()}
     )
+    daemon.metrics.register_gauge("open_orders", lambda: {no_labels: float(daemon.fleet.count_open_orders())})
     if daemon.start_phase is not None:
         daemon.metrics.register_gauge(
             "start_phase", lambda: {no_labels: float(daemon.start_phase.is_active(clock.now()))}
--- a/src/currantlead/sessions/instances/fleet.py
+++ b/src/currantlead/sessions/instances/fleet.py
@@ -127,7 +127,7 @@
         if tracked is not None:
             instance = _reconcile(tracked.instance, instance)
         if tracked is not None and tracked.instance.started_at_ms != instance.started_at_ms:
-            self._record_departure(tracked)
+            self._departures.record(tracked.instance, clock.now(), has_ended=True)
         if tracked is None or tracked.instance.started_at_ms != instance.started_at_ms:
             tracked = self._instances[instance.id] = TrackedInstance(instance)
             self._by_service.setdefault(instance.service, {})[instance.id] = tracked
@@ -167,7 +167,7 @@
             return
         if tracked.instance.draining:
             self._forget(tracked)
-            self._record_departure(tracked)
+            self._departures.record(tracked.instance, clock.now(), has_ended=True)
             _log.bind(instance=instance_id).info("drained instance removed")
         elif tracked.lapsed_at is None:
             tracked.lapsed_at = clock.now()
@@ -184,7 +184,7 @@
         ]
         for tracked in expired:
             self._forget(tracked)
-            self._record_departure(tracked)
+            self._departures.record(tracked.instance, tracked.lapsed_at, has_ended=False)
             _log.bind(instance=tracked.instance.id).warning("lapsed instance removed")
         return [tracked.instance.id for tracked in expired]
 
@@ -200,9 +200,6 @@
         """Return the replicas of a service that have left recently."""
         return self._departures.of(service)
 
-    def _record_departure(self, tracked: TrackedInstance) -> None:
-        self._departures.record(tracked.instance, tracked.lapsed_at if tracked.lapsed_at is not None else clock.now())
-
     def set_evacuated_domains(self, domains: Iterable[str], since: float) -> None:
         """Set the evacuated failure domains, whose instances must get no new work.
 
@@ -271,6 +268,10 @@
             )
             self._notify_waiters()
 
+    def count_open_orders(self) -> int:
+        """Return the number of services with a promotion that was called for and is not known to have taken effect."""
+        return sum(self._orders.of(service) is not None for service in self._by_service)
+
     def is_replaced(self, instance_id: str) -> bool:
         """Return whether an open order names another instance of the service, so that this one may get no commits."""
         tracked = self._instances.get(instance_id)
--- a/src/currantlead/sessions/instances/replacements.py
+++ b/src/currantlead/sessions/instances/replacements.py
@@ -16,10 +16,13 @@
     Attributes:
         instance: Its last entry.
         gone_at: Clock reading at which it was known to be gone.
+        has_ended: Whether its process has ended: it had drained, or another one has its identity. An instance whose
+            entry has lapsed may only be cut off from the store.
     """
 
     instance: model.Instance
     gone_at: float
+    has_ended: bool
 
 
 class Departures:
@@ -28,10 +31,10 @@
     def __init__(self) -> None:
         self._departures: list[Departure] = []
 
-    def record(self, instance: model.Instance, gone_at: float) -> None:
+    def record(self, instance: model.Instance, gone_at: float, *, has_ended: bool) -> None:
         """Record that an instance is gone, unless it led: what a primary acknowledged is on a replica, too."""
         if instance.role is model.Role.REPLICA:
-            self._departures.append(Departure(instance, gone_at))
+            self._departures.append(Departure(instance, gone_at, has_ended))
 
     def of(self, service: str) -> list[Departure]:
         """Return the instances of a service that are gone since less than ``DEPARTURE_RETENTION_S`` seconds."""
--- a/src/currantlead/sessions/shared/duty_claims.py
+++ b/src/currantlead/sessions/shared/duty_claims.py
@@ -62,9 +62,11 @@
     ) -> None:
         """Record a duty's entry; a claim of another VM starts the period in which only that VM may act.
 
-        The period goes on if the store is restored and no longer has the claim.
+        The period goes on if the store is restored and no longer has the claim, and so does an open order.
         """
         known = self._latest.get(duty)
+        if known is not None and objects.era_of(generation) > objects.era_of(known.generation):
+            ordered = ordered or known.ordered
         if known is None or generation > known.generation:
             self._latest[duty] = Claim(holder, generation, stage, ordered)
             if holder != self._vm and stage is not model.DutyStage.ENDED:
@@ -98,7 +100,8 @@
             value = objects.encode_duty(model.Duty(self._vm), 0)
             stored = await self._store.create(objects.DUTIES, duty, value)
         else:
-            ordered = objects.decode_duty(entry).ordered
+            known = self._latest.get(duty)
+            ordered = known.ordered if known is not None else ""
             value = objects.encode_duty(model.Duty(self._vm, ordered=ordered), entry.revision)
             stored = await self._store.replace(objects.DUTIES, duty, value, entry.revision)
         if stored is None:
--- a/tests/test_promotion_choice.py
+++ b/tests/test_promotion_choice.py
@@ -69,6 +69,22 @@
     assert expected or "c, which left" in reason
 
 
+def test_lapsed_instance_counts_although_a_later_commit_was_acknowledged():
+    """An instance that is only cut off from the store may have received the later commit itself."""
+    lapsed = promotion_choice.Departed("c", 5.0, has_ended=False)
+    known = {"departed": [lapsed], "acknowledged": acknowledged(70, 71, sent_at=9.0)}
+    assert choose(PAUSED, 2, **known)[0] is None
+    assert (
+        choose(PAUSED, 2, **known | {"acknowledged": acknowledged(70, sent_at=9.0), "reported_since": -9.0})[0] == "a"
+    )
+
+
+def test_demoted_instance_without_the_acknowledged_commits_proves_nothing():
+    """A VM that takes an earlier primary for the last one must not promote what is as recent as that one."""
+    old = promotion_choice.PausedReplica("old", P(1, 70), True)
+    assert choose(PAUSED, 2, demoted=old, acknowledged=acknowledged(71))[0] is None
+
+
 def test_old_primary_leads_again_if_only_it_has_all_commits():
     """A primary that was demoted and is ahead of all replicas is not replaced by one that may lack commits."""
     old = promotion_choice.PausedReplica("old", P(1, 111), False)
