Show that a promotion that stops late leaves no primary

All writes were refused until another event caused a promotion. After the demotion, a replica that joins doesn't answer, or the call is refused; the promotion ends without resuming the replicas, and the drain that was its reason is taken back. No VM finds a reason to act then, because the demoted instance was named primary last, answers and doesn't drain.

--- a/tests/test_promotion_losses.py
+++ b/tests/test_promotion_losses.py
@@ -170,3 +170,31 @@
         await session_bed.wait_until(lambda: first_chosen, 5.0)
         await promotion_bed.wait_for_new_primary(bed, "i-1", *first_chosen)
         await promotion_bed.check_nothing_is_lost(bed, writer)
+
+
+@pytest.mark.parametrize("cause", ["silent-replica", "refused-call"])
+async def test_promotion_stopped_after_the_demotion_leaves_no_primary(bed, cause):
+    """Guards against a service without a primary when a promotion stops late and the drain is taken back."""
+    demoted = []
+
+    async def disturb():
+        if cause == "refused-call":
+            refusals = [409, 409]
+            bed.store.duty_fault = lambda path, fields, fence: refusals.pop() if refusals else None
+        else:
+            joined = await bed.join("i-5")
+            joined.unresponsive = True
+            await asyncio.sleep(1.0)
+            joined.unresponsive = False
+        bed.register_instance("i-1")
+
+    def disturb_when_demoted(instance, command, term):
+        if command == "DEMOTE" and not demoted:
+            demoted.append(asyncio.create_task(disturb()))
+
+    bed.service.on_command = disturb_when_demoted
+    async with promotion_bed.write(bed) as writer:
+        bed.register_instance("i-1", state="draining")
+        await session_bed.wait_until(lambda: demoted, 5.0)
+        await demoted[0]
+        await promotion_bed.check_nothing_is_lost(bed, writer)
