Show that promotions trust the empty log of a replica that started again

A replica that starts again under its id without its log is counted with its empty log, and the departure of its former log is filtered out by its id. The parameter without the return is the control.

--- /dev/null
+++ b/tests/test_promotion_review.py
@@ -0,0 +1,75 @@
+"""Tests of interleavings in which promotions still lose acknowledged commits, or leave a service without a primary."""
+
+import asyncio
+
+import pytest
+
+from tests import promotion_bed, session_bed
+from tests.standins import replicated_log
+
+
+@pytest.fixture
+async def bed():
+    """Provide two daemons and a service with four instances, whose promotions take effect after 0.3 s."""
+    async with session_bed.Bed(instances=["i-1", "i-2", "i-3", "i-4"], promote_s=0.3) as started:
+        other = await started.add_daemon("vm-2", "z2")
+        await session_bed.wait_until(lambda: started.daemon.members.count == other.members.count == 2)
+        started.other = other
+        yield started
+
+
+async def lose_power_after_commits(bed):
+    """Let only the primary and i-4 receive commits of callers at vm-2, and stop these three; return the items."""
+    async with promotion_bed.write(bed, bed.other) as writer:
+        bed.service.cut("i-1", "i-2")
+        bed.service.cut("i-1", "i-3")
+        await writer.wait_for_acknowledged(5, 3.0)
+    await bed.stop_daemon(bed.other)
+    await bed.service.instances["i-1"].stop()
+    await bed.service.instances["i-4"].stop()
+    return writer
+
+
+@pytest.mark.parametrize("comes_back", [False, True])
+async def test_only_up_to_date_replica_starts_again_without_its_log(bed, comes_back):
+    """Guards against taking the empty log of a replica that started again under its id for the one that it had."""
+    writer = await lose_power_after_commits(bed)
+    replica = bed.service.instances["i-4"]
+    if comes_back:
+        replica.log = replicated_log.Log()
+        await replica.start()
+        bed.register_instance("i-4", born=2000)
+    else:
+        bed.register_instance("i-4", state="draining")
+        await asyncio.sleep(0.3)
+        bed.store.delete("servers", "i-4")
+    caller = await bed.caller()
+    for _ in range(8):
+        await caller.query("WRITE probe x")
+        await promotion_bed.await_wrong_promotion(bed, "i-1", timeout_s=1.0)
+    assert bed.service.primary == "i-1", f"{bed.service.primary} was promoted, lost: {bed.service.lost}"
+    assert not promotion_bed.find_missing(bed, writer)
+
+
+async def test_commit_that_waits_for_a_replica_when_the_primary_cannot_be_demoted():
+    """Guards against a commit, sent before the order, that a replica which joins lets an undemoted primary acknowledge.
+
+    The VM that reaches the primary cannot demote it, because the primary accepts no more connections.
+    """
+    async with promotion_bed.make_pair_with_cut_off_vm() as (bed, cut_off, proxy):
+        request_promotion, joins = bed.store.promote, []
+
+        def join_and_promote(service, instance_id):
+            if not joins:
+                joins.append(asyncio.create_task(bed.join("i-4")))
+            return request_promotion(service, instance_id)
+
+        bed.store.promote = join_and_promote
+        async with promotion_bed.write(bed) as writer, promotion_bed.write(bed, cut_off):
+            await writer.wait_for_acknowledged(20, 3.0)
+            bed.service.max_connections = len(bed.service.instances["i-1"].connections)
+            proxy.to_target.dropped = proxy.from_target.dropped = True
+            await promotion_bed.await_wrong_promotion(bed, "i-1", timeout_s=5.0)
+            proxy.clear_faults()
+            bed.service.max_connections = 16
+            await promotion_bed.check_nothing_is_lost(bed, writer)
