Show that a primary that cannot be demoted acknowledges commits after the choice

A VM reaches the primary, whose connections are all in use, so that its demotion fails; the promotion goes on. A commit that was sent before the order waits there until a replica joins, and is lost.

--- a/tests/test_promotion_review.py
+++ b/tests/test_promotion_review.py
@@ -1,11 +1,12 @@
 """Tests of interleavings in which promotions still lose acknowledged commits, or leave a service without a primary."""
 
 import asyncio
+import contextlib
 
 import pytest
 
 from tests import promotion_bed, session_bed
-from tests.standins import replicated_log
+from tests.standins import loopback_proxy, replicated_log
 
 
 @pytest.fixture
@@ -51,12 +52,35 @@
     assert not promotion_bed.find_missing(bed, writer)
 
 
+@contextlib.asynccontextmanager
+async def make_pair_across_regions(delay_s=0.025):
+    """Provide a bed, and a second VM that reaches all instances through proxies; the one of i-1 has no delay yet."""
+    async with session_bed.Bed(promote_s=0.5) as bed:
+        proxies = {}
+        for name, instance in bed.service.instances.items():
+            proxies[name] = loopback_proxy.LoopbackProxy(instance.port)
+            await proxies[name].start()
+            if name != "i-1":
+                proxies[name].to_target.delay_s = proxies[name].from_target.delay_s = delay_s
+        replaced = {
+            f"127.0.0.1:{instance.port}": f"127.0.0.1:{proxies[name].port}"
+            for name, instance in bed.service.instances.items()
+        }
+        distant = await bed.add_daemon("vm-2", "z2", store_port=await bed.store.add_view(replaced))
+        await session_bed.wait_until(lambda: bed.daemon.members.count == distant.members.count == 2)
+        try:
+            yield bed, distant, proxies["i-1"]
+        finally:
+            for proxy in proxies.values():
+                proxy.stop()
+
+
 async def test_commit_that_waits_for_a_replica_when_the_primary_cannot_be_demoted():
     """Guards against a commit, sent before the order, that a replica which joins lets an undemoted primary acknowledge.
 
     The VM that reaches the primary cannot demote it, because the primary accepts no more connections.
     """
-    async with promotion_bed.make_pair_with_cut_off_vm() as (bed, cut_off, proxy):
+    async with make_pair_across_regions() as (bed, distant, proxy):
         request_promotion, joins = bed.store.promote, []
 
         def join_and_promote(service, instance_id):
@@ -64,12 +88,18 @@
                 joins.append(asyncio.create_task(bed.join("i-4")))
             return request_promotion(service, instance_id)
 
+        def fill_primary(kind, value):
+            if kind == "duties":
+                bed.service.max_connections = len(bed.service.instances["i-1"].connections)
+            return value
+
         bed.store.promote = join_and_promote
-        async with promotion_bed.write(bed) as writer, promotion_bed.write(bed, cut_off):
+        async with promotion_bed.write(bed) as writer, promotion_bed.write(bed, distant):
             await writer.wait_for_acknowledged(20, 3.0)
-            bed.service.max_connections = len(bed.service.instances["i-1"].connections)
+            bed.store.rewrite = fill_primary
             proxy.to_target.dropped = proxy.from_target.dropped = True
             await promotion_bed.await_wrong_promotion(bed, "i-1", timeout_s=5.0)
+            bed.store.rewrite = lambda kind, value: value
             proxy.clear_faults()
             bed.service.max_connections = 16
             await promotion_bed.check_nothing_is_lost(bed, writer)
