Show that departures are forgotten after 20 s and by VMs that start

A replica of a dark failure domain may have the only copy of commits; 20 s after its entry lapsed another one is promoted, and a VM that started after the departure promotes at once. Both lose acknowledged commits whose answers only a VM that was killed has seen.

--- a/tests/test_promotion_review.py
+++ b/tests/test_promotion_review.py
@@ -103,3 +103,38 @@
             proxy.clear_faults()
             bed.service.max_connections = 16
             await promotion_bed.check_nothing_is_lost(bed, writer)
+
+
+async def test_zone_without_power_for_longer_than_departures_are_remembered(bed):
+    """Guards against forgetting, after a time, the replica of a dark failure domain that may have the only copy."""
+    writer = await lose_power_after_commits(bed)
+    bed.store.delete("servers", "i-1")
+    bed.store.delete("servers", "i-4")
+    caller = await bed.caller()
+    for _ in range(32):
+        await caller.query("WRITE probe x")
+        await promotion_bed.await_wrong_promotion(bed, "i-1", timeout_s=1.0)
+    assert bed.service.primary == "i-1", f"{bed.service.primary} was promoted, lost: {bed.service.lost}"
+    assert not promotion_bed.find_missing(bed, writer)
+
+
+async def test_vm_that_started_after_the_departure_promotes_without_reports(bed):
+    """Guards against a VM that knows of no departure because it was not running, and does not wait for the reports."""
+    async with promotion_bed.write(bed, bed.other) as writer:
+        bed.service.cut("i-1", "i-2")
+        bed.service.cut("i-1", "i-3")
+        bed.register_instance("i-4", state="draining")
+        await writer.wait_for_acknowledged(5, 3.0)
+        await bed.stop_daemon(bed.daemon)
+        await bed.leave("i-4")
+        await asyncio.sleep(0.5)
+    # The VM that had the answers is killed; its entry among the members stays for 20 s.
+    await bed.stop_daemon(bed.other)
+    await bed.start_daemon()
+    await bed.service.instances["i-1"].stop()
+    caller = await bed.caller()
+    for _ in range(8):
+        await caller.query("WRITE probe x")
+        await promotion_bed.await_wrong_promotion(bed, "i-1", timeout_s=1.0)
+    assert bed.service.primary == "i-1", f"{bed.service.primary} was promoted, lost: {bed.service.lost}"
+    assert not promotion_bed.find_missing(bed, writer)
