--- a/tests/test_promotion_review.py
+++ b/tests/test_promotion_review.py
@@ -138,3 +138,23 @@
         await promotion_bed.await_wrong_promotion(bed, "i-1", timeout_s=1.0)
     assert bed.service.primary == "i-1", f"{bed.service.primary} was promoted, lost: {bed.service.lost}"
     assert not promotion_bed.find_missing(bed, writer)
+
+
+async def test_ordered_replica_leaves_before_its_promotion(bed):
+    """Guards against waiting for 20 s although the demoted primary, which can be reached, shows that nothing is missing.
+
+    The VMs have been running for less than 10 s, so that their reports alone prove nothing.
+    """
+    request_promotion, leaves = bed.store.promote, []
+
+    def leave_or_promote(service, instance_id):
+        if leaves:
+            return request_promotion(service, instance_id)
+        leaves.append(asyncio.create_task(bed.leave(instance_id)))
+        return False
+
+    bed.store.promote = leave_or_promote
+    async with promotion_bed.write(bed) as writer:
+        bed.register_instance("i-1", state="draining")
+        await session_bed.wait_until(lambda: leaves)
+        await promotion_bed.check_nothing_is_lost(bed, writer)
