Show that a demoted primary with the only copy never leads again

The checks before the claim do not ask the demoted primary, so that every attempt is refused: 112 attempts of two VMs in 33 s, and no primary.

--- a/tests/test_promotion_review.py
+++ b/tests/test_promotion_review.py
@@ -158,3 +158,29 @@
         bed.register_instance("i-1", state="draining")
         await session_bed.wait_until(lambda: leaves)
         await promotion_bed.check_nothing_is_lost(bed, writer)
+
+
+async def test_demoted_primary_is_the_only_one_with_all_commits(bed):
+    """Guards against a service without a primary for good: a demoted primary that is ahead never leads again.
+
+    The replica that was to be promoted leaves, and the others were cut off from the primary before.
+    """
+    request_promotion, leaves = bed.store.promote, []
+
+    def leave_or_promote(service, instance_id):
+        if leaves:
+            return request_promotion(service, instance_id)
+        leaves.append(asyncio.create_task(bed.leave(instance_id)))
+        return False
+
+    bed.store.promote = leave_or_promote
+    async with promotion_bed.write(bed) as writer:
+        bed.service.cut("i-1", "i-2")
+        bed.service.cut("i-1", "i-3")
+        await writer.wait_for_acknowledged(5, 3.0)
+        bed.register_instance("i-1", state="draining")
+        await session_bed.wait_until(lambda: leaves)
+        bed.register_instance("i-1")
+        bed.service.cut_links.clear()
+        await asyncio.sleep(25.0)
+        await promotion_bed.check_nothing_is_lost(bed, writer)
