Show that a proof by reports leaves out the holder that is down

With holders, the reports count as complete without those holders that are down, although the commits passed through them. A failure domain that loses its power then costs acknowledged commits at once.

--- a/tests/test_promotion_review.py
+++ b/tests/test_promotion_review.py
@@ -184,3 +184,29 @@
         bed.service.cut_links.clear()
         await asyncio.sleep(25.0)
         await promotion_bed.check_nothing_is_lost(bed, writer)
+
+
+async def test_holder_that_is_down_does_not_report():
+    """Guards against complete reports that lack the VM through which the commits passed, because it is down."""
+    async with session_bed.Bed(instances=["i-1", "i-2", "i-3", "i-4"], promote_s=0.3) as bed:
+        services = [{"name": session_bed.SERVICE, "maxConns": 4, "syncReplicas": 1}]
+        bed.store.put("config", "main", session_bed.configuration(2, services=services))
+        others = [await bed.add_daemon(f"vm-{number}", f"z{number}") for number in (2, 3)]
+        await session_bed.wait_until(lambda: all(item.members.count == 3 for item in others))
+        async with promotion_bed.write(bed, others[0]):
+            pass
+        # The reports reach back far enough.
+        await asyncio.sleep(12.0)
+        async with promotion_bed.write(bed) as writer:
+            bed.service.cut("i-1", "i-2")
+            bed.service.cut("i-1", "i-3")
+            await writer.wait_for_acknowledged(5, 3.0)
+        await bed.stop_daemon(bed.daemon)
+        await bed.service.instances["i-1"].stop()
+        await bed.leave("i-4")
+        caller = await bed.caller(at=others[0])
+        for _ in range(10):
+            await caller.query("WRITE probe x")
+            await promotion_bed.await_wrong_promotion(bed, "i-1", timeout_s=1.0)
+        assert bed.service.primary == "i-1", f"{bed.service.primary} was promoted, lost: {bed.service.lost}"
+        assert not promotion_bed.find_missing(bed, writer)
