--- a/tests/test_promotion_review.py
+++ b/tests/test_promotion_review.py
@@ -210,3 +210,23 @@
             await promotion_bed.await_wrong_promotion(bed, "i-1", timeout_s=1.0)
         assert bed.service.primary == "i-1", f"{bed.service.primary} was promoted, lost: {bed.service.lost}"
         assert not promotion_bed.find_missing(bed, writer)
+
+
+async def test_replica_whose_entry_lapsed_still_receives(bed):
+    """Guards against taking a replica that only its entry shows as gone for one that acknowledges nothing more."""
+    async with promotion_bed.write(bed, bed.other) as writer, promotion_bed.write(bed) as own_writer:
+        bed.store.delete("servers", "i-4")
+        await asyncio.sleep(3.0)
+        await own_writer.wait_for_acknowledged(5, 3.0)
+        await own_writer.stop()
+        bed.service.cut("i-1", "i-2")
+        bed.service.cut("i-1", "i-3")
+        await writer.wait_for_acknowledged(5, 3.0)
+    await bed.stop_daemon(bed.other)
+    await bed.service.instances["i-1"].stop()
+    caller = await bed.caller()
+    for _ in range(8):
+        await caller.query("WRITE probe x")
+        await promotion_bed.await_wrong_promotion(bed, "i-1", timeout_s=1.0)
+    assert bed.service.primary in ("i-1", "i-4"), f"{bed.service.primary} was promoted, lost: {bed.service.lost}"
+    assert not promotion_bed.find_missing(bed, writer)
