Show that a promotion leaves out a living primary that was forgotten

Once its entry has lapsed for 2 s, an earlier primary stands for the old one: it is not paused, its position counts as that of the old primary, and commits of open transactions at the present primary are not held back (is_replaced knows no forgotten instance). The commit's caller was told of success.

--- a/tests/test_promotion_review.py
+++ b/tests/test_promotion_review.py
@@ -230,3 +230,37 @@
         await promotion_bed.await_wrong_promotion(bed, "i-1", timeout_s=1.0)
     assert bed.service.primary in ("i-1", "i-4"), f"{bed.service.primary} was promoted, lost: {bed.service.lost}"
     assert not promotion_bed.find_missing(bed, writer)
+
+
+async def test_former_primary_is_not_paused_after_the_present_one_was_forgotten(bed):
+    """Guards against leaving the present primary and a former one out of a promotion, as if the latter still led.
+
+    The present primary is alive, but its entry has lapsed; a replica that answers nothing for 3 s delays the promotion.
+    """
+    bed.register_instance("i-1", state="draining")
+    async with promotion_bed.write(bed, timeout_s=5.0):
+        await promotion_bed.wait_for_new_primary(bed, "i-1")
+    bed.register_instance("i-1")
+    present = bed.service.primary
+    frozen = next(name for name in ("i-2", "i-3", "i-4") if name != present)
+    await asyncio.sleep(1.0)
+    caller = await bed.caller()
+    commits = []
+
+    def commit_and_promote(service, instance_id):
+        if not commits:
+            commits.append(asyncio.create_task(caller.query("COMMIT")))
+        return bed.service.request_promotion(instance_id)
+
+    bed.store.promote = commit_and_promote
+    bed.service.instances[frozen].unresponsive = True
+    bed.store.delete("servers", present)
+    await asyncio.sleep(1.5)
+    assert (await caller.query("BEGIN"))[0].startswith("DONE")
+    assert (await caller.query("WRITE held x"))[0].startswith("DONE")
+    await asyncio.sleep(1.0)
+    bed.service.instances[frozen].unresponsive = False
+    await session_bed.wait_until(lambda: commits, 8.0)
+    answer = await commits[0]
+    await promotion_bed.await_wrong_promotion(bed, present, timeout_s=3.0)
+    assert not bed.service.lost, f"{bed.service.primary} was promoted without the commit, answered {answer}"
