Demote first, use full instances, and count instances that a VM does not know of

- All VMs examined the replicas before one of them claimed the duty.
The claim comes first again.
A VM closes an idle connection of its own if an instance is full, and a full replica is not missed if the old primary can be demoted.
- The old primary is demoted before the replicas are paused, so that they receive its last commits; its position then shows that nothing is missing, also of a replica that is gone.
- Commits without an answer at other instances are broken off once an order is open: a primary that is too full to be demoted acknowledged them with a replica that joined.
- A holder that is down counts among the VMs that have to report.
- A VM that has just started does not know which instances left before.
- A primary that lives but was forgotten, because its entry lapsed, was left out of the promotion, and a former one was taken for it.
- An order that cannot be closed holds up the next promotion for 1.5 s at most; VMs send the old primary no commits then.

--- a/src/currantlead/sessions/daemon.py
+++ b/src/currantlead/sessions/daemon.py
@@ -172,6 +172,7 @@
             start_phase=self.start_phase,
             acknowledged=self.acknowledged_commits,
         )
+        self.fleet.on_ordered = self.connections.abort_commits
         self.mirror.attach_sampler(self.sampler)
         self.mirror.paces_start = config.load_management.start_pacing
         self.failover = (
@@ -183,8 +184,9 @@
                 commit_reports.CommitReports(
                     self.network, self.acknowledged_commits, self._commit_sources, self.members.names
                 ),
-                remote_demotion.RemoteDemotion(self.network, self.fleet, self._vms_near),
+                remote_demotion.RemoteDemotion(self.network, self.fleet, self._vms_near, self.connections.close_idle),
                 vm=config.vm,
+                close_idle=self.connections.close_idle,
                 members=self._responsive_vms,
                 configured=lambda: self.configuration.services,
                 count_outcome=lambda outcome: self.metrics.count("promotions", result=outcome),
@@ -313,8 +315,9 @@
 
     def _commit_sources(self, primary: model.Instance | None) -> list[str]:
         """Return the VMs through which the commits at a primary pass; None stands for an unknown primary."""
-        holders_by_id = self.connections.holders_of_service(primary.id) if primary is not None else {}
-        return holders_by_id[primary.id] if holders_by_id else self.members.names()
+        if primary is None or not self.connection_limits.uses_holders(primary.service):
+            return self.members.names()
+        return self.connections.past_holders(primary)
 
     def _vms_near(self, instance: model.Instance) -> list[str]:
         """Return the VMs that respond, those of an instance's failure domain first."""
--- a/src/currantlead/sessions/decisions/promotion_choice.py
+++ b/src/currantlead/sessions/decisions/promotion_choice.py
@@ -61,8 +61,10 @@
 
     Attributes:
         paused: Replicas whose replication is paused, with their positions since.
-        replicas: Number of replicas that may have acknowledged a commit.
-        demoted: The old primary with its position, if it has confirmed that it leads no more, or None.
+        replicas: Number of replicas that may have acknowledged a commit. If some are not known to be paused, the old
+            primary must lead no more.
+        demoted: The old primary with its position, if it has confirmed that it leads no more, or None. Before anything
+            is changed, its position at an earlier moment serves to explain what is missing.
         acknowledged: Bounds of the latest acknowledged commit that any VM has reported.
         reported_since: Clock reading since which all VMs have kept account; infinite if one did not report.
         departed: Instances that are gone.
@@ -77,6 +79,11 @@
     departed: Sequence[Departed] = ()
     ordered: str = ""
 
+    @property
+    def missing(self) -> int:
+        """Return the number of replicas that are not known to be paused."""
+        return max(0, self.replicas - len(self.paused))
+
 
 def choose_replica(situation: Situation) -> "PausedReplica | str":
     """Return the instance to promote, or the reason why none may be promoted.
@@ -84,10 +91,11 @@
     The instance of an open order is preferred, because that order may take effect at any time.
     """
     paused = situation.paused
-    if len(paused) < situation.replicas:
-        return f"{situation.replicas - len(paused)} of {situation.replicas} replicas did not confirm the pause"
-    if len(paused) < MIN_REPLICAS and situation.demoted is None:
-        return f"too few replicas for a promotion: {len(paused)} paused"
+    if situation.demoted is None:
+        if situation.missing:
+            return f"{situation.missing} of {situation.replicas} replicas did not confirm the pause"
+        if len(paused) < MIN_REPLICAS:
+            return f"too few replicas for a promotion: {len(paused)} paused"
     latest = max((item.received for item in paused), default=acknowledgements.NO_POSITION)
     reason = explain_missing(situation, latest)
     if not reason:
@@ -118,9 +126,11 @@
     if situation.demoted is not None and position >= situation.demoted.received:
         return ""
     uncovered = [item for item in situation.departed if not item.has_ended or acknowledged.sent_at <= item.gone_at]
-    if not uncovered:
+    if not uncovered and not situation.missing:
         return ""
-    first_gone_at = min(item.gone_at for item in uncovered)
+    first_gone_at = min((item.gone_at for item in uncovered), default=float("inf"))
     if position >= acknowledged.at_most and situation.reported_since <= first_gone_at - ACCOUNT_S:
         return ""
+    if not uncovered:
+        return f"commits may be only on {situation.missing} of {situation.replicas} replicas that did not answer"
     return f"commits may be only on {', '.join(sorted(item.instance for item in uncovered))}, which left"
--- a/src/currantlead/sessions/failover/instance_commands.py
+++ b/src/currantlead/sessions/failover/instance_commands.py
@@ -1,7 +1,7 @@
 """Status requests and commands of replication, sent to instances on connections of the proxy itself."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from currantlead import errors, logs
 from currantlead.platform import lines
@@ -18,27 +18,46 @@
 _log = logs.part("succession")
 
 
-async def connect(instance: model.Instance) -> link.Link | None:
-    """Open a connection to an instance; return None if it cannot be reached, which is logged."""
-    try:
-        return await link.Link.connect(instance, ORGANISATION)
-    except errors.LinkRefusedError as error:
-        _log.bind(instance=instance.id).info("status request failed: {}", error)
-        return None
+async def connect(instance: model.Instance, close_idle: Callable[[str], bool]) -> link.Link | None:
+    """Open a connection to an instance; return None if it cannot be opened, which is logged.
+
+    Args:
+        instance: The instance.
+        close_idle: Closes an idle connection of this VM to an instance, so that a full instance accepts this one;
+            returns whether there was one.
+    """
+    links: dict[str, link.Link] = {}
+    await connect_all([instance], links, close_idle)
+    return links.get(instance.id)
 
 
-async def connect_all(instances: Iterable[model.Instance], links: dict[str, link.Link]) -> None:
-    """Open connections to instances, and add those that can be reached to ``links``, by identity.
+async def connect_all(
+    instances: Iterable[model.Instance], links: dict[str, link.Link], close_idle: Callable[[str], bool]
+) -> set[str]:
+    """Open connections to instances, and add them to ``links``, by identity.
 
     A connection is added as soon as it is open, so that the caller can close it if it is cancelled.
+
+    Returns:
+        The identities of the instances that accept no more connections, and so are alive.
     """
+    full: set[str] = set()
 
     async def add(instance: model.Instance) -> None:
-        connection = await connect(instance)
-        if connection is not None:
-            links[instance.id] = connection
+        try:
+            try:
+                links[instance.id] = await link.Link.connect(instance, ORGANISATION)
+            except errors.LinkRefusedError as error:
+                if not error.overloaded or not close_idle(instance.id):
+                    raise
+                links[instance.id] = await link.Link.connect(instance, ORGANISATION)
+        except errors.LinkRefusedError as error:
+            _log.bind(instance=instance.id).info("status request failed: {}", error)
+            if error.overloaded:
+                full.add(instance.id)
 
     await asyncio.gather(*map(add, instances))
+    return full
 
 
 async def send(connection: link.Link, message: bytes) -> model.InstanceStatus | None:
--- a/src/currantlead/sessions/failover/promotion.py
+++ b/src/currantlead/sessions/failover/promotion.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection
 from typing import Any
 
 from currantlead import errors, logs
@@ -18,8 +18,9 @@
 from currantlead.sessions.instances import fleet, link
 from currantlead.sessions.shared import duty_claims
 
-JOIN_WAIT_S = 0.1
-"""Time for this VM to learn of a replica that joined just before the old primary was demoted."""
+SETTLE_S = 0.1
+"""Time after the demotion of the old primary in which the replicas receive its last commits, and this VM learns of a
+replica that has just joined."""
 EFFECT_TIMEOUT_S = 3.0
 """Time within which an accepted promotion takes effect; it takes 0.3 s to 1 s."""
 EFFECT_CHECK_INTERVAL_S = 0.1
@@ -40,6 +41,7 @@
         demotion: Demotes primaries through other VMs.
         calls: Records orders and calls for promotions.
         on_stage: Called with the service when its promotion reaches a stage.
+        close_idle: Closes an idle connection of this VM to an instance; returns whether there was one.
     """
 
     instances: fleet.Fleet
@@ -48,6 +50,7 @@
     demotion: remote_demotion.RemoteDemotion
     calls: promotion_calls.PromotionCalls
     on_stage: Callable[[str, promotion_progress.Stage], None]
+    close_idle: Callable[[str], bool]
 
 
 class Promotion:
@@ -81,6 +84,7 @@
         self._old_link: link.Link | None = None
         self._links: dict[str, link.Link] = {}
         self._tried: list[model.Instance] = []
+        self._full: set[str] = set()
         self._silent_vms: frozenset[str] = frozenset()
         self._keeps_pauses = False
 
@@ -92,10 +96,12 @@
             errors.MalformedObjectError: The store sent a malformed entry.
         """
         try:
-            _, refusal = await asyncio.gather(self._connect_old(), self._examine())
-            if refusal:
-                return refusal
+            # The claim comes first, so that only one VM at a time opens connections, of which instances accept few.
             refusal = await self._claim(reason)
+            if not refusal:
+                refusal = await self._examine()
+            if not refusal:
+                refusal = await self._close_order_of_old()
             if refusal:
                 return refusal
             chosen = await self._stop_replication()
@@ -113,91 +119,107 @@
             if self._old_link is not None:
                 self._old_link.close()
 
-    # Before the claim
+    # Before any instance is changed
+
+    async def _claim(self, reason: str) -> str:
+        """Claim the duty; return why that failed."""
+        claims = self._tools.claims
+        previous = claims.latest(self._service)
+        generation = await claims.claim(self._service, election.CLAIM_EXCLUSIVITY_S)
+        if generation is None:
+            return "another VM holds the promotion duty"
+        self._generation = generation
+        self._bind(previous_holder=previous and previous.holder, open_order=self._open_order()).info(
+            "promotion began: {}", reason
+        )
+        return ""
 
     async def _connect_old(self) -> None:
         """Connect to the old primary, or find other VMs that reach it."""
         if self._old is None:
             return
         if self._connects:
-            self._old_link = await instance_commands.connect(self._old)
+            self._old_link = await instance_commands.connect(self._old, self._tools.close_idle)
         if self._old_link is None and self._reached_by is None:
             self._reached_by = await self._tools.demotion.find_vms(self._old)
 
     async def _examine(self) -> str:
         """Return why no replica could be promoted as things are, before anything is changed."""
-        report = await self._collect_report()
-        refusal = await self._connect_replicas()
-        if refusal:
-            return refusal
+        report, _, _ = await asyncio.gather(self._collect_report(), self._connect_old(), self._connect_replicas())
+        # Read before the positions of the replicas: those that have reached it lack nothing acknowledged before.
+        old_status = await self._read_old()
         statuses = await self._read_statuses()
-        if len(statuses) < len(self._links):
-            return (
-                f"{len(self._links) - len(statuses)} of {len(self._links)} replicas did not answer the status request"
-            )
+        missing = sorted(instance.id for instance in self._known_replicas() if instance.id not in statuses)
+        if not self._can_do_without(missing):
+            return f"replicas did not answer the status request: {', '.join(missing)}"
         if any(status.role is model.Role.PRIMARY for status in statuses.values()):
             return "a replica is already primary"
         self._term = max((status.term for status in statuses.values()), default=0) + 1
         latest = max((status.received for status in statuses.values()), default=acknowledgements.NO_POSITION)
-        return promotion_choice.explain_missing(self._describe([], 0, None, report), latest)
+        if not statuses or (old_status is not None and old_status.role is model.Role.REPLICA):
+            # Without a primary, the old one may lead again if only it has all commits.
+            return ""
+        old = None if old_status is None else promotion_choice.PausedReplica(self._old.id, old_status.received, False)
+        return promotion_choice.explain_missing(self._describe([], 0, old, report), latest)
+
+    async def _read_old(self) -> model.InstanceStatus | None:
+        """Return the status of the old primary, or None if this VM cannot reach it."""
+        if self._old_link is None:
+            return None
+        return await instance_commands.send(self._old_link, CODEC.encode_status())
+
+    def _can_do_without(self, missing: Collection[str]) -> bool:
+        """Return whether a replica may be promoted although some did not answer.
+
+        If the old primary can be demoted, its position tells what the chosen one must have. Replicas that are only full
+        receive the commits of the new primary; with others missing, it might have no replica that acknowledges them.
+        """
+        return not missing or (
+            self._full.issuperset(missing) and (self._old_link is not None or bool(self._reached_by))
+        )
 
     async def _collect_report(self) -> commit_reports.CommitReport:
         report = await self._tools.reports.collect(self._service, self._old, skipped=self._silent_vms)
         self._silent_vms = report.unanswered
         return report
 
-    def _replicas(self) -> list[model.Instance]:
-        """Return the replicas that are known, and those that are gone from the store but may still receive."""
-        old_id = self._old.id if self._old is not None else ""
-        known = {tracked.instance.id: tracked.instance for tracked in self._tools.instances.instances_of(self._service)}
-        gone = {
-            item.instance.id: item.instance
-            for item in self._tools.instances.departures(self._service)
-            if not item.has_ended
-        }
-        return [instance for name, instance in (gone | known).items() if name != old_id]
-
-    async def _connect_replicas(self) -> str:
-        """Connect to the replicas that are not connected yet; return why they cannot be counted on."""
-        replicas = self._replicas()
-        new = [instance for instance in replicas if instance.id not in self._links and instance not in self._tried]
-        self._tried += [instance for instance in new if self._tools.instances.get(instance.id) is None]
-        await instance_commands.connect_all(new, self._links)
-        missing = [
-            instance.id
-            for instance in replicas
-            if instance.id not in self._links and self._tools.instances.get(instance.id) is not None
+    def _known_replicas(self) -> list[model.Instance]:
+        return [
+            tracked.instance
+            for tracked in self._tools.instances.instances_of(self._service)
+            if self._old is None or tracked.instance.id != self._old.id
         ]
-        if missing:
-            return f"{len(missing)} of {len(replicas)} replicas did not answer the status request"
-        return ""
+
+    async def _connect_replicas(self) -> None:
+        """Connect to the replicas that have not been tried, also to those that are only gone from the store."""
+        gone = [item.instance for item in self._tools.instances.departures(self._service) if not item.has_ended]
+        new = {
+            instance.id: instance
+            for instance in [*gone, *self._known_replicas()]
+            if instance.id not in self._links and instance not in self._tried
+        }
+        self._tried += new.values()
+        self._full |= await instance_commands.connect_all(new.values(), self._links, self._tools.close_idle)
 
     async def _read_statuses(self) -> dict[str, model.InstanceStatus]:
         """Return the statuses of the connected replicas that answer."""
         statuses = await instance_commands.send_to_all(self._links.values(), CODEC.encode_status())
         return {name: status for name, status in zip(self._links, statuses, strict=True) if status is not None}
 
-    # From the claim to the choice
+    # From the first change to the choice
 
-    async def _claim(self, reason: str) -> str:
-        """Claim the duty, and close the order by which the old primary leads; return why that failed."""
-        claims = self._tools.claims
-        previous = claims.latest(self._service)
-        generation = await claims.claim(self._service, election.CLAIM_EXCLUSIVITY_S)
-        if generation is None:
-            return "another VM holds the promotion duty"
-        self._generation = generation
-        open_order = self._open_order()
-        self._bind(previous_holder=previous and previous.holder, open_order=open_order).info(
-            "promotion began: {}", reason
-        )
-        if self._old is None or open_order != self._old.id:
+    async def _close_order_of_old(self) -> str:
+        """Close the order by which the old primary leads; return why that failed.
+
+        One of its calls, carried out after the demotion, would make the old primary lead again. If the order cannot be
+        closed, VMs still send the old primary no commits once the next order is recorded.
+        """
+        if self._old is None or self._open_order() != self._old.id:
             return ""
-        # One of its calls, carried out after the demotion, would make the old primary lead again.
-        order = promotion_calls.Order(self._service, open_order, generation, unanswered=1)
+        order = promotion_calls.Order(self._service, self._old.id, self._generation, unanswered=1)
         closed = await self._tools.calls.close(order)
         if closed is None:
-            return "the order for the old primary could not be closed"
+            return "another VM has claimed the promotion duty"
         self._generation = closed.generation
         return ""
 
@@ -207,14 +229,11 @@
 
     async def _stop_replication(self) -> promotion_choice.PausedReplica | str:
         """Pause all replicas, demote the old primary, and return the instance to promote or why there is none."""
-        demoted, _ = await asyncio.gather(self._demote(), self._pause(self._links.values()))
+        demoted = await self._demote()
         if demoted is not None:
-            await asyncio.sleep(JOIN_WAIT_S)
-        connected = set(self._links)
-        refusal = await self._connect_replicas()
-        if refusal:
-            return refusal
-        await self._pause([item for name, item in self._links.items() if name not in connected])
+            await asyncio.sleep(SETTLE_S)
+        await self._connect_replicas()
+        await instance_commands.send_to_all(self._links.values(), CODEC.encode_pause(self._term))
         report = await self._collect_report()
         statuses = await self._read_statuses()
         paused = [
@@ -222,7 +241,8 @@
             for name, status in statuses.items()
             if status.role is model.Role.REPLICA and status.paused_term >= self._term
         ]
-        situation = self._describe(paused, len(self._links), demoted, report)
+        expected = {instance.id for instance in self._known_replicas()} | set(self._links)
+        situation = self._describe(paused, len(expected), demoted, report)
         chosen = promotion_choice.choose_replica(situation)
         self._log_choice(situation, report, chosen)
         return chosen
@@ -243,9 +263,6 @@
             return None
         return promotion_choice.PausedReplica(self._old.id, status.received, self._is_promotable(self._old.id))
 
-    async def _pause(self, links: Iterable[link.Link]) -> None:
-        await instance_commands.send_to_all(links, CODEC.encode_pause(self._term))
-
     def _is_promotable(self, instance_id: str) -> bool:
         tracked = self._tools.instances.get(instance_id)
         return tracked is not None and self._tools.instances.accepts_reads(tracked)
@@ -263,6 +280,9 @@
             for item in self._tools.instances.departures(self._service)
             if (item.instance.id, item.instance.started_at_ms) not in connected
         ]
+        known_since = self._tools.instances.departures_known_since()
+        if known_since is not None:
+            departed.append(promotion_choice.Departed("an instance before the start of this VM", known_since))
         return promotion_choice.Situation(
             paused, replicas, demoted, report.acknowledged, report.since, departed, self._open_order()
         )
@@ -298,7 +318,7 @@
         self._generation = order.generation
         refusal = await self._tools.calls.call(order)
         if refusal:
-            if not order.unanswered and await self._tools.calls.close(order) is not None:
+            if not order.unanswered and await self._tools.calls.close(order):
                 self._keeps_pauses = False
                 await self._resume()
             return refusal
@@ -321,13 +341,15 @@
         if paused and await self._tools.claims.is_current(self._service, self._generation):
             self._bind(instances=[item.instance.id for item in paused]).info("resuming paused replicas")
             await instance_commands.send_to_all(paused, CODEC.encode_resume())
-        await self._tools.calls.close(order)
+        if not order.unanswered or self._is_promotable(order.instance_id):
+            await self._tools.calls.close(order)
+        # An instance that has to be replaced itself is not held up; its replacement closes the order.
 
     async def _await_effect(self, instance_id: str) -> bool:
         """Wait until an instance says that it leads; return whether it did in time."""
         if instance_id not in self._links and self._old is not None:
             # The old primary leads again.
-            await instance_commands.connect_all([self._old], self._links)
+            await instance_commands.connect_all([self._old], self._links, self._tools.close_idle)
         deadline = clock.now() + EFFECT_TIMEOUT_S
         while instance_id in self._links and clock.now() < deadline:
             status = await instance_commands.send(self._links[instance_id], CODEC.encode_status())
--- a/src/currantlead/sessions/failover/promotion_calls.py
+++ b/src/currantlead/sessions/failover/promotion_calls.py
@@ -18,8 +18,11 @@
 """Time limit of a promotion call; the platform answers it before it carries it out, which takes 0.3 s to 1 s."""
 CALL_PAUSE_S = 0.2
 """Pause before a promotion call is repeated; rejected calls are limited to 50 per second over all VMs."""
-CLOSE_LIMIT_S = 5.0
-"""Time for which a VM tries to close an order; later promotions close it first."""
+CLOSE_TIMEOUT_S = 0.3
+"""Time limit of a call that closes an order. One without an answer makes the next one necessary, and the service may be
+waiting for another primary."""
+CLOSE_LIMIT_S = 1.5
+"""Time for which a VM tries to close an order."""
 
 _log = logs.part("succession")
 
@@ -103,7 +106,8 @@
         all earlier ones, and nothing changes if the instance leads already.
 
         Returns:
-            The closed order with the last generation number, or None if it could not be closed.
+            The order with the last generation number, with unanswered calls if it could not be closed in time; None if
+            another VM has claimed the duty.
 
         Raises:
             errors.PlatformUnavailableError: The store gave no usable response.
@@ -114,14 +118,15 @@
         try:
             while order.unanswered:
                 if clock.now() >= deadline:
-                    return None
+                    _log.bind(service=order.service, generation=order.generation).warning("the order stays open")
+                    return order
                 number = await self._claims.advance(
                     order.service, order.generation, model.DutyStage.ORDERED, order.instance_id
                 )
                 if number is None:
                     return None
                 order = dataclasses.replace(order, generation=number, unanswered=0)
-                status = await self._send(order, client)
+                status = await self._send(order, client, CLOSE_TIMEOUT_S)
                 if status not in (objects.OK, objects.CONFLICT):
                     order.unanswered = max(1, order.unanswered)
                     await asyncio.sleep(CALL_PAUSE_S)
@@ -133,12 +138,12 @@
         _log.bind(service=order.service, generation=number, instance=order.instance_id).info("order closed")
         return dataclasses.replace(order, generation=number)
 
-    async def _send(self, order: Order, client: http.HttpClient) -> int | None:
+    async def _send(self, order: Order, client: http.HttpClient, timeout_s: float = CALL_TIMEOUT_S) -> int | None:
         """Send a call once; return the status of the answer, or None if there was none."""
         call = calls.promote_call(order.service, order.instance_id, self._vm, order.generation)
         log = _log.bind(service=order.service, generation=order.generation, instance=order.instance_id)
         try:
-            response = await self._store.call(call, client, CALL_TIMEOUT_S)
+            response = await self._store.call(call, client, timeout_s)
         except errors.HttpUnavailableError as error:
             order.unanswered += 1
             self._count_call("unanswered")
--- a/src/currantlead/sessions/failover/remote_demotion.py
+++ b/src/currantlead/sessions/failover/remote_demotion.py
@@ -13,7 +13,7 @@
 from currantlead.peers import network
 from currantlead.sessions import model
 from currantlead.sessions.failover import instance_commands
-from currantlead.sessions.instances import fleet
+from currantlead.sessions.instances import fleet, link
 
 REACH, DEMOTE = "reach", "demote"
 REACHED, ROW = "reached", "row"
@@ -34,11 +34,17 @@
         peers: Streams to the other VMs.
         instances: The known instances.
         helpers: Returns the VMs that may be asked to reach an instance, the most suitable first.
+        close_idle: Closes an idle connection of this VM to an instance; returns whether there was one.
     """
 
     def __init__(
-        self, peers: network.Network, instances: fleet.Fleet, helpers: Callable[[model.Instance], Sequence[str]]
+        self,
+        peers: network.Network,
+        instances: fleet.Fleet,
+        helpers: Callable[[model.Instance], Sequence[str]],
+        close_idle: Callable[[str], bool],
     ):
+        self._close_idle = close_idle
         self._peers = peers
         self._fleet = instances
         self._helpers = helpers
@@ -64,17 +70,21 @@
             _log.bind(instance=instance.id, peer=vm).info("VM did not say whether it reaches the instance: {}", error)
             return {}
 
+    async def _connect(self, instance_id: str) -> link.Link | None:
+        tracked = self._fleet.get(instance_id) or self._fleet.gone_leader(instance_id)
+        if tracked is None:
+            return None
+        return await instance_commands.connect(tracked.instance, self._close_idle)
+
     async def _handle_reach(self, vm: str, body: dict[str, Any]) -> dict[str, Any]:
-        tracked = self._fleet.get(body["instance"])
-        connection = await instance_commands.connect(tracked.instance) if tracked is not None else None
+        connection = await self._connect(body["instance"])
         if connection is None:
             return {REACHED: False}
         connection.close()
         return {REACHED: True}
 
     async def _handle_demote(self, vm: str, body: dict[str, Any]) -> dict[str, Any]:
-        tracked = self._fleet.get(body["instance"])
-        connection = await instance_commands.connect(tracked.instance) if tracked is not None else None
+        connection = await self._connect(body["instance"])
         if connection is None:
             return {}
         status = await instance_commands.send(connection, instance_commands.CODEC.encode_demote(int(body["term"])))
--- a/src/currantlead/sessions/failover/succession.py
+++ b/src/currantlead/sessions/failover/succession.py
@@ -40,6 +40,7 @@
         reports: Collects the other VMs' reports on acknowledged commits.
         demotion: Demotes primaries through other VMs.
         vm: Name of this VM.
+        close_idle: Closes an idle connection of this VM to an instance; returns whether there was one.
         members: Returns the VMs that may promote, this one included.
         configured: Returns the services of the configuration; entries of instances may name others.
         count_outcome: Called with the outcome of each attempt, for metrics.
@@ -57,6 +58,7 @@
         demotion: remote_demotion.RemoteDemotion,
         *,
         vm: str,
+        close_idle: Callable[[str], bool],
         members: Callable[[], list[str]],
         configured: Callable[[], Collection[str]],
         count_outcome: Callable[[str], None] = lambda outcome: None,
@@ -67,7 +69,7 @@
         self._claims = claims
         claims.on_claimed = self._handle_claim
         calls = promotion_calls.PromotionCalls(shared, claims, promotions, vm, count_call)
-        self._tools = promotion.Tools(instances, claims, reports, demotion, calls, on_stage)
+        self._tools = promotion.Tools(instances, claims, reports, demotion, calls, on_stage, close_idle)
         self._vm = vm
         self._members = members
         self._configured = configured
@@ -159,7 +161,7 @@
         links_by_id: dict[str, link.Link] = {}
         status_request = instance_commands.CODEC.encode_status()
         try:
-            await instance_commands.connect_all([primary, *others], links_by_id)
+            await instance_commands.connect_all([primary, *others], links_by_id, self._tools.close_idle)
             links = [links_by_id[item.id] for item in [primary, *others] if item.id in links_by_id]
             first = await instance_commands.send_to_all(links, status_request)
             await asyncio.sleep(REPLICATION_WAIT_S)
--- a/src/currantlead/sessions/instances/connections.py
+++ b/src/currantlead/sessions/instances/connections.py
@@ -119,6 +119,11 @@
             for other in self._fleet.instances_of(tracked.instance.service)
         }
 
+    def past_holders(self, instance: model.Instance) -> list[str]:
+        """Return the VMs that hold an instance's connections, and those that would if all VMs responded."""
+        responding = self._limits.holders(instance, self._liveness.is_down)
+        return list(dict.fromkeys([*responding, *self._limits.holders(instance, lambda vm: False)]))
+
     def apply_limits(self) -> None:
         """Apply the current shares of connections to all pools."""
         for path in self._direct_paths.values():
@@ -142,6 +147,20 @@
             elif clock.now() - path.activity.committed_at < 2 * liveness.CHECK_INTERVAL_S:
                 self._fleet.record_write(path.instance.id, answered=True)
 
+    def close_idle(self, instance_id: str) -> bool:
+        """Close an idle connection to an instance, which may be full; return whether there was one."""
+        path = self._direct_paths.get(instance_id)
+        return path is not None and path.pool.close_idle()
+
+    def abort_commits(self, service: str, ordered_id: str) -> None:
+        """Close the connections with unanswered commits at the other instances of a service than the ordered one.
+
+        The instance that is promoted may lack what another one acknowledges from now on.
+        """
+        for path in self._direct_paths.values():
+            if path.instance.service == service and path.instance.id != ordered_id:
+                path.abort_commits()
+
     def close_unused(self) -> None:
         """Close the connections to instances that no longer exist."""
         for instance_id in [name for name in self._direct_paths if self._fleet.get(name) is None]:
--- a/src/currantlead/sessions/instances/fleet.py
+++ b/src/currantlead/sessions/instances/fleet.py
@@ -79,6 +79,7 @@
         region_of: Region of each failure domain.
 
     Attributes:
+        on_ordered: Called with service and instance when the promotion of an instance was ordered.
         on_symptom: Called with instance, symptom and reason when this VM itself saw that an instance may have failed.
     """
 
@@ -92,7 +93,9 @@
         self._absent_since: dict[str, float] = {}
         self._departures = replacements.Departures()
         self._orders = replacements.OpenOrders()
+        self._gone_leaders: dict[str, TrackedInstance] = {}
         self._changed = asyncio.Event()
+        self.on_ordered: Callable[[str, str], None] = lambda service, instance_id: None
         self.on_symptom: Callable[[str, Symptom, str], None] = lambda instance_id, symptom, reason: None
 
     def apply_settings(self, bounds: settings.Bounds, region_of: Mapping[str, str]) -> None:
@@ -149,6 +152,9 @@
                 tracked.primary_since = 0
         tracked.instance = instance
         tracked.lapsed_at = None
+        gone = self._gone_leaders.get(instance.service)
+        if gone is not None and (gone.instance.id == instance.id or tracked.primary_since > gone.primary_since):
+            del self._gone_leaders[instance.service]
         self._orders.end_in_effect(instance)
         if not instance.draining:
             tracked.draining_since = None
@@ -190,6 +196,8 @@
 
     def _forget(self, tracked: TrackedInstance) -> None:
         instance = tracked.instance
+        if self.leader(instance.service) is tracked:
+            self._gone_leaders[instance.service] = tracked
         del self._instances[instance.id]
         of_service = self._by_service[instance.service]
         del of_service[instance.id]
@@ -200,6 +208,10 @@
         """Return the replicas of a service that have left recently."""
         return self._departures.of(service)
 
+    def departures_known_since(self) -> float | None:
+        """Return the clock reading before which departures are not known, or None if all recent ones are."""
+        return self._departures.complete_since()
+
     def set_evacuated_domains(self, domains: Iterable[str], since: float) -> None:
         """Set the evacuated failure domains, whose instances must get no new work.
 
@@ -243,13 +255,24 @@
         candidates = [
             tracked for tracked in self.instances_of(service) if tracked.primary_since and _may_lead(tracked, now)
         ]
+        gone = self._gone_leaders.get(service)
+        if gone is not None and self.leader(service) is gone:
+            return None
         return max(candidates, key=lambda tracked: tracked.primary_since, default=None)
 
     def leader(self, service: str) -> TrackedInstance | None:
-        """Return the instance that was named primary last, or None, whatever order is open."""
-        primary = max(self.instances_of(service), key=lambda tracked: tracked.primary_since, default=None)
+        """Return the instance that was named primary last, or None, whatever order is open.
+
+        One that is gone counts until another is named: it may only be cut off from the store.
+        """
+        known = [*self.instances_of(service), *filter(None, [self._gone_leaders.get(service)])]
+        primary = max(known, key=lambda tracked: tracked.primary_since, default=None)
         return primary if primary is not None and primary.primary_since else None
 
+    def gone_leader(self, instance_id: str) -> TrackedInstance | None:
+        """Return the state of an instance that led when it was gone, or None."""
+        return next((item for item in self._gone_leaders.values() if item.instance.id == instance_id), None)
+
     def set_order(self, service: str, instance_id: str, revision: int) -> None:
         """Apply the order that the store has for a service.
 
@@ -266,6 +289,8 @@
             _log.bind(service=service, instance=instance_id or None).info(
                 "commits wait for the ordered instance" if instance_id else "no order is open"
             )
+            if instance_id:
+                self.on_ordered(service, instance_id)
             self._notify_waiters()
 
     def count_open_orders(self) -> int:
--- a/src/currantlead/sessions/instances/paths.py
+++ b/src/currantlead/sessions/instances/paths.py
@@ -249,6 +249,13 @@
         self.pool = connections
         self.activity = Activity(counter)
         self.arrivals = checked_arrivals
+        self._committing: set[link.Link] = set()
+
+    def abort_commits(self) -> None:
+        """Close the connections with an unanswered commit, which is then in doubt."""
+        for connection in list(self._committing):
+            _log.bind(instance=self.instance.id).info("closing a connection with an unanswered commit")
+            connection.abort()
 
     @property
     def saturated(self) -> bool:
@@ -346,6 +353,15 @@
         Raises:
             errors.LinkLostError: The connection was lost; see ``Activity.perform``.
         """
+        if not order.commits:
+            return await self._measure(order, connection)
+        self._committing.add(connection)
+        try:
+            return await self._measure(order, connection)
+        finally:
+            self._committing.discard(connection)
+
+    async def _measure(self, order: orders.Order, connection: link.Link) -> orders.Report:
         if self.pool.meter is None:
             return await self.activity.perform(order, connection)
         started_at = clock.now()
--- a/src/currantlead/sessions/instances/pool.py
+++ b/src/currantlead/sessions/instances/pool.py
@@ -267,6 +267,15 @@
         self._size -= 1
         self._open_for_waiters()
 
+    def close_idle(self) -> bool:
+        """Close the connection that has been idle for the longest time; return whether there was one."""
+        if not self._idle:
+            return False
+        connection = self._idle.pop(0)
+        connection.close()
+        self._size -= 1
+        return True
+
     def close(self) -> None:
         """Close idle connections and refuse new requests; connections in use are closed when they are released."""
         self._closed = True
--- a/src/currantlead/sessions/instances/replacements.py
+++ b/src/currantlead/sessions/instances/replacements.py
@@ -30,12 +30,17 @@
 
     def __init__(self) -> None:
         self._departures: list[Departure] = []
+        self._since = clock.now()
 
     def record(self, instance: model.Instance, gone_at: float, *, has_ended: bool) -> None:
         """Record that an instance is gone, unless it led: what a primary acknowledged is on a replica, too."""
         if instance.role is model.Role.REPLICA:
             self._departures.append(Departure(instance, gone_at, has_ended))
 
+    def complete_since(self) -> float | None:
+        """Return the clock reading before which departures are not known, or None if all recent ones are."""
+        return self._since if clock.now() - self._since < DEPARTURE_RETENTION_S else None
+
     def of(self, service: str) -> list[Departure]:
         """Return the instances of a service that are gone since less than ``DEPARTURE_RETENTION_S`` seconds."""
         since = clock.now() - DEPARTURE_RETENTION_S
--- a/tests/test_promotion_review.py
+++ b/tests/test_promotion_review.py
@@ -141,7 +141,7 @@
 
 
 async def test_ordered_replica_leaves_before_its_promotion(bed):
-    """Guards against waiting for 20 s although the demoted primary, which can be reached, shows that nothing is missing.
+    """Guards against waiting for 20 s although the demoted primary, which can be reached, shows that nothing is lost.
 
     The VMs have been running for less than 10 s, so that their reports alone prove nothing.
     """
