Reach full instances through other VMs, and let a draining replica lead if it must

A VM that promotes now asks others to close an idle connection if it has none itself. - A primary that leads is not demoted while no replica that may lead has all commits that callers were told of; it would have to lead again.

--- a/src/currantlead/sessions/daemon.py
+++ b/src/currantlead/sessions/daemon.py
@@ -22,7 +22,7 @@
 )
 from currantlead.sessions.callers import access_control, session, token_buckets, token_exchange
 from currantlead.sessions.decisions import acknowledgements, election, start_pacing
-from currantlead.sessions.failover import commit_reports, remote_demotion, succession
+from currantlead.sessions.failover import commit_reports, remote_commands, succession
 from currantlead.sessions.instances import alarms, connection_limits, connections, fleet, holders
 from currantlead.sessions.membership import eviction, liveness, members, overload, registration, start
 from currantlead.sessions.routing import execution, freshness, sampling, targets
@@ -184,9 +184,8 @@
                 commit_reports.CommitReports(
                     self.network, self.acknowledged_commits, self._commit_sources, self.members.names
                 ),
-                remote_demotion.RemoteDemotion(self.network, self.fleet, self._vms_near, self.connections.close_idle),
+                remote_commands.RemoteCommands(self.network, self.fleet, self._vms_near, self.connections.close_idle),
                 vm=config.vm,
-                close_idle=self.connections.close_idle,
                 members=self._responsive_vms,
                 configured=lambda: self.configuration.services,
                 count_outcome=lambda outcome: self.metrics.count("promotions", result=outcome),
--- a/src/currantlead/sessions/decisions/promotion_choice.py
+++ b/src/currantlead/sessions/decisions/promotion_choice.py
@@ -103,6 +103,8 @@
         for preferred in (
             [item for item in candidates if item.instance == situation.ordered],
             [item for item in candidates if item.promotable],
+            # One that drains leads until others have its commits, which would leave with it otherwise.
+            candidates if situation.demoted is None else [],
         ):
             if preferred:
                 return min(preferred, key=lambda item: item.instance)
--- a/src/currantlead/sessions/failover/instance_commands.py
+++ b/src/currantlead/sessions/failover/instance_commands.py
@@ -1,7 +1,7 @@
 """Status requests and commands of replication, sent to instances on connections of the proxy itself."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 
 from currantlead import errors, logs
 from currantlead.platform import lines
@@ -15,24 +15,25 @@
 """Organisation named on connections of the proxy itself, which belong to no caller."""
 CODEC = lines.InstanceCodec()
 
+MakeRoom = Callable[[model.Instance], Awaitable[bool]]
+
 _log = logs.part("succession")
 
 
-async def connect(instance: model.Instance, close_idle: Callable[[str], bool]) -> link.Link | None:
+async def connect(instance: model.Instance, make_room: MakeRoom) -> link.Link | None:
     """Open a connection to an instance; return None if it cannot be opened, which is logged.
 
     Args:
         instance: The instance.
-        close_idle: Closes an idle connection of this VM to an instance, so that a full instance accepts this one;
-            returns whether there was one.
+        make_room: Closes an idle connection to a full instance; returns whether there was one.
     """
     links: dict[str, link.Link] = {}
-    await connect_all([instance], links, close_idle)
+    await connect_all([instance], links, make_room)
     return links.get(instance.id)
 
 
 async def connect_all(
-    instances: Iterable[model.Instance], links: dict[str, link.Link], close_idle: Callable[[str], bool]
+    instances: Iterable[model.Instance], links: dict[str, link.Link], make_room: MakeRoom
 ) -> set[str]:
     """Open connections to instances, and add them to ``links``, by identity.
 
@@ -48,7 +49,7 @@
             try:
                 links[instance.id] = await link.Link.connect(instance, ORGANISATION)
             except errors.LinkRefusedError as error:
-                if not error.overloaded or not close_idle(instance.id):
+                if not error.overloaded or not await make_room(instance):
                     raise
                 links[instance.id] = await link.Link.connect(instance, ORGANISATION)
         except errors.LinkRefusedError as error:
--- a/src/currantlead/sessions/failover/promotion.py
+++ b/src/currantlead/sessions/failover/promotion.py
@@ -14,7 +14,7 @@
 from currantlead import errors, logs
 from currantlead.sessions import clock, model
 from currantlead.sessions.decisions import acknowledgements, election, promotion_choice, promotion_progress
-from currantlead.sessions.failover import commit_reports, instance_commands, promotion_calls, remote_demotion
+from currantlead.sessions.failover import commit_reports, instance_commands, promotion_calls, remote_commands
 from currantlead.sessions.instances import fleet, link
 from currantlead.sessions.shared import duty_claims
 
@@ -38,19 +38,17 @@
         instances: The known instances.
         claims: Claims of the duties; the duty of a service's promotions has the service's name.
         reports: Collects the other VMs' reports on acknowledged commits.
-        demotion: Demotes primaries through other VMs.
+        remote: Helps with instances through other VMs.
         calls: Records orders and calls for promotions.
         on_stage: Called with the service when its promotion reaches a stage.
-        close_idle: Closes an idle connection of this VM to an instance; returns whether there was one.
     """
 
     instances: fleet.Fleet
     claims: duty_claims.DutyClaims
     reports: commit_reports.CommitReports
-    demotion: remote_demotion.RemoteDemotion
+    remote: remote_commands.RemoteCommands
     calls: promotion_calls.PromotionCalls
     on_stage: Callable[[str, promotion_progress.Stage], None]
-    close_idle: Callable[[str], bool]
 
 
 class Promotion:
@@ -139,9 +137,9 @@
         if self._old is None:
             return
         if self._connects:
-            self._old_link = await instance_commands.connect(self._old, self._tools.close_idle)
+            self._old_link = await instance_commands.connect(self._old, self._tools.remote.make_room)
         if self._old_link is None and self._reached_by is None:
-            self._reached_by = await self._tools.demotion.find_vms(self._old)
+            self._reached_by = await self._tools.remote.find_vms(self._old)
 
     async def _examine(self) -> str:
         """Return why no replica could be promoted as things are, before anything is changed."""
@@ -159,6 +157,12 @@
         if not statuses or (old_status is not None and old_status.role is model.Role.REPLICA):
             # Without a primary, the old one may lead again if only it has all commits.
             return ""
+        promotable = [status.received for name, status in statuses.items() if self._is_promotable(name)]
+        if (
+            old_status is not None
+            and max(promotable, default=acknowledgements.NO_POSITION) < report.acknowledged.at_least
+        ):
+            return "no replica that may lead has all commits yet, and the old primary still leads"
         old = None if old_status is None else promotion_choice.PausedReplica(self._old.id, old_status.received, False)
         return promotion_choice.explain_missing(self._describe([], 0, old, report), latest)
 
@@ -199,7 +203,7 @@
             if instance.id not in self._links and instance not in self._tried
         }
         self._tried += new.values()
-        self._full |= await instance_commands.connect_all(new.values(), self._links, self._tools.close_idle)
+        self._full |= await instance_commands.connect_all(new.values(), self._links, self._tools.remote.make_room)
 
     async def _read_statuses(self) -> dict[str, model.InstanceStatus]:
         """Return the statuses of the connected replicas that answer."""
@@ -255,7 +259,7 @@
         if self._old_link is not None:
             status = await instance_commands.send(self._old_link, CODEC.encode_demote(self._term))
         elif self._reached_by:
-            status = await self._tools.demotion.demote(self._reached_by, self._old, self._term)
+            status = await self._tools.remote.demote(self._reached_by, self._old, self._term)
         self._bind(
             instance=self._old.id, position=str(status.received) if status else None, through=self._reached_by
         ).info("demotion of the old primary requested")
@@ -349,7 +353,7 @@
         """Wait until an instance says that it leads; return whether it did in time."""
         if instance_id not in self._links and self._old is not None:
             # The old primary leads again.
-            await instance_commands.connect_all([self._old], self._links, self._tools.close_idle)
+            await instance_commands.connect_all([self._old], self._links, self._tools.remote.make_room)
         deadline = clock.now() + EFFECT_TIMEOUT_S
         while instance_id in self._links and clock.now() < deadline:
             status = await instance_commands.send(self._links[instance_id], CODEC.encode_status())
--- a/src/currantlead/sessions/failover/succession.py
+++ b/src/currantlead/sessions/failover/succession.py
@@ -14,7 +14,7 @@
     instance_commands,
     promotion,
     promotion_calls,
-    remote_demotion,
+    remote_commands,
 )
 from currantlead.sessions.instances import fleet, link
 from currantlead.sessions.shared import duty_claims, store
@@ -38,9 +38,8 @@
         claims: Claims of the duties; the duty of a service's promotions has the service's name.
         promotions: Address that takes promotion calls.
         reports: Collects the other VMs' reports on acknowledged commits.
-        demotion: Demotes primaries through other VMs.
+        remote: Helps with instances through other VMs.
         vm: Name of this VM.
-        close_idle: Closes an idle connection of this VM to an instance; returns whether there was one.
         members: Returns the VMs that may promote, this one included.
         configured: Returns the services of the configuration; entries of instances may name others.
         count_outcome: Called with the outcome of each attempt, for metrics.
@@ -55,10 +54,9 @@
         claims: duty_claims.DutyClaims,
         promotions: settings.Address,
         reports: commit_reports.CommitReports,
-        demotion: remote_demotion.RemoteDemotion,
+        remote: remote_commands.RemoteCommands,
         *,
         vm: str,
-        close_idle: Callable[[str], bool],
         members: Callable[[], list[str]],
         configured: Callable[[], Collection[str]],
         count_outcome: Callable[[str], None] = lambda outcome: None,
@@ -69,7 +67,7 @@
         self._claims = claims
         claims.on_claimed = self._handle_claim
         calls = promotion_calls.PromotionCalls(shared, claims, promotions, vm, count_call)
-        self._tools = promotion.Tools(instances, claims, reports, demotion, calls, on_stage, close_idle)
+        self._tools = promotion.Tools(instances, claims, reports, remote, calls, on_stage)
         self._vm = vm
         self._members = members
         self._configured = configured
@@ -141,7 +139,7 @@
         connects, reached_by = True, None
         if old is not None and reason == "silent":
             (is_alive, connects), reached_by = await asyncio.gather(
-                instance_commands.probe(old), self._tools.demotion.find_vms(old)
+                instance_commands.probe(old), self._tools.remote.find_vms(old)
             )
             if is_alive:
                 self._fleet.mark_healthy(old.id)
@@ -161,7 +159,7 @@
         links_by_id: dict[str, link.Link] = {}
         status_request = instance_commands.CODEC.encode_status()
         try:
-            await instance_commands.connect_all([primary, *others], links_by_id, self._tools.close_idle)
+            await instance_commands.connect_all([primary, *others], links_by_id, self._tools.remote.make_room)
             links = [links_by_id[item.id] for item in [primary, *others] if item.id in links_by_id]
             first = await instance_commands.send_to_all(links, status_request)
             await asyncio.sleep(REPLICATION_WAIT_S)
