Hold back commits from the last report until the order is recorded, and end lost pauses

Found by the state machine of promotions:

VMs that report after the pauses now hold back commits until the order is recorded, for a second at most. It is resumed over a new one.

--- a/src/currantlead/sessions/daemon.py
+++ b/src/currantlead/sessions/daemon.py
@@ -182,7 +182,7 @@
                 self.duty_claims,
                 config.promotions,
                 commit_reports.CommitReports(
-                    self.network, self.acknowledged_commits, self._commit_sources, self.members.names
+                    self.network, self.fleet, self.acknowledged_commits, self._commit_sources, self.members.names
                 ),
                 remote_commands.RemoteCommands(self.network, self.fleet, self._vms_near, self.connections.close_idle),
                 vm=config.vm,
--- a/src/currantlead/sessions/failover/commit_reports.py
+++ b/src/currantlead/sessions/failover/commit_reports.py
@@ -12,9 +12,11 @@
 from currantlead.peers import network
 from currantlead.sessions import clock, model
 from currantlead.sessions.decisions import acknowledgements
+from currantlead.sessions.instances import fleet
 
 ACKNOWLEDGED = "acknowledged"
-BOUNDS, UP_S = "bounds", "up_s"
+RELEASE = "release"
+BOUNDS, HOLDS, UP_S = "bounds", "holds", "up_s"
 MAX_VMS = 16
 """Number of VMs up to which all are asked."""
 ANSWER_TIMEOUT_S = 0.3
@@ -44,6 +46,7 @@
 
     Args:
         peers: Streams to the other VMs.
+        instances: The known instances.
         acknowledged: What this VM knows about acknowledged commits.
         sources: Returns the VMs through which the commits at a primary pass; None stands for an unknown primary.
         members: Returns all VMs. Up to ``MAX_VMS`` are asked in any case, because the VM of a caller knows the bounds
@@ -53,19 +56,27 @@
     def __init__(
         self,
         peers: network.Network,
+        instances: fleet.Fleet,
         acknowledged: acknowledgements.AcknowledgedCommits,
         sources: Callable[[model.Instance | None], Iterable[str]],
         members: Callable[[], Sequence[str]],
     ):
         self._members = members
         self._peers = peers
+        self._fleet = instances
         self._acknowledged = acknowledged
         self._sources = sources
         self._started_at = clock.now()
         peers.handler(ACKNOWLEDGED)(self._handle_request)
+        peers.handler(RELEASE)(self._handle_release)
 
     async def collect(
-        self, service: str, primary: model.Instance | None, *, skipped: Collection[str] = ()
+        self,
+        service: str,
+        primary: model.Instance | None,
+        *,
+        skipped: Collection[str] = (),
+        holds: bool = False,
     ) -> CommitReport:
         """Ask the VMs what was acknowledged to callers; the report is complete if those on the way have answered.
 
@@ -73,12 +84,16 @@
             service: The service.
             primary: Its present primary, or None if it is unknown.
             skipped: VMs that are not asked, because they did not answer just before; they count as silent.
+            holds: Whether the VMs, this one included, hold back commits from their answer until the order is recorded,
+                so that none is acknowledged after the choice.
         """
         sources = list(self._sources(primary))
         others = self._members() if len(self._members()) <= MAX_VMS else ()
         own = self._peers.member.vm
         vms = [vm for vm in dict.fromkeys([*sources, *others]) if vm != own and vm not in skipped]
-        answers = await asyncio.gather(*(self._ask(vm, service) for vm in vms))
+        if holds:
+            self._fleet.hold_commits(service)
+        answers = await asyncio.gather(*(self._ask(vm, service, holds) for vm in vms))
         known = [answer for answer in answers if answer is not None]
         answered = {vm for vm, answer in zip(vms, answers, strict=True) if answer is not None}
         unanswered = frozenset(skipped) | (set(vms) - answered)
@@ -88,11 +103,19 @@
         is_complete = unanswered.isdisjoint(sources)
         return CommitReport(merged, since if is_complete else float("inf"), unanswered)
 
-    async def _ask(self, vm: str, service: str) -> tuple[acknowledgements.Acknowledged, float] | None:
+    def release(self, service: str) -> None:
+        """Let all VMs send commits again, because no order will be recorded."""
+        self._fleet.release_commits(service)
+        for vm in self._members():
+            if vm != self._peers.member.vm:
+                self._peers.notify(vm, RELEASE, {"service": service})
+
+    async def _ask(self, vm: str, service: str, holds: bool) -> tuple[acknowledgements.Acknowledged, float] | None:
         """Return what a VM knows, and since when, or None if it did not answer."""
         asked_at = clock.now()
         try:
-            answer = await self._peers.request(vm, ACKNOWLEDGED, {"service": service}, timeout_s=ANSWER_TIMEOUT_S)
+            question = {"service": service, HOLDS: holds}
+            answer = await self._peers.request(vm, ACKNOWLEDGED, question, timeout_s=ANSWER_TIMEOUT_S)
             bounds = acknowledgements.Acknowledged.decode(answer[BOUNDS], asked_at)
             # The earlier start would be safe only if the answer took no time.
             return bounds, clock.now() - float(answer[UP_S])
@@ -103,5 +126,11 @@
         return None
 
     def _handle_request(self, vm: str, body: dict[str, Any]) -> dict[str, Any]:
+        if body.get(HOLDS):
+            self._fleet.hold_commits(str(body["service"]))
         now = clock.now()
         return {BOUNDS: self._acknowledged.of(str(body["service"])).encode(now), UP_S: now - self._started_at}
+
+    def _handle_release(self, vm: str, body: dict[str, Any]) -> dict[str, Any]:
+        self._fleet.release_commits(str(body["service"]))
+        return {}
--- a/src/currantlead/sessions/failover/promotion.py
+++ b/src/currantlead/sessions/failover/promotion.py
@@ -82,6 +82,7 @@
         self._old_link: link.Link | None = None
         self._links: dict[str, link.Link] = {}
         self._tried: list[model.Instance] = []
+        self._paused: list[model.Instance] = []
         self._full: set[str] = set()
         self._silent_vms: frozenset[str] = frozenset()
         self._keeps_pauses = False
@@ -182,8 +183,8 @@
             self._full.issuperset(missing) and (self._old_link is not None or bool(self._reached_by))
         )
 
-    async def _collect_report(self) -> commit_reports.CommitReport:
-        report = await self._tools.reports.collect(self._service, self._old, skipped=self._silent_vms)
+    async def _collect_report(self, *, holds: bool = False) -> commit_reports.CommitReport:
+        report = await self._tools.reports.collect(self._service, self._old, skipped=self._silent_vms, holds=holds)
         self._silent_vms = report.unanswered
         return report
 
@@ -237,8 +238,9 @@
         if demoted is not None:
             await asyncio.sleep(SETTLE_S)
         await self._connect_replicas()
+        self._paused = [item.instance for item in self._links.values()]
         await instance_commands.send_to_all(self._links.values(), CODEC.encode_pause(self._term))
-        report = await self._collect_report()
+        report = await self._collect_report(holds=True)
         statuses = await self._read_statuses()
         paused = [
             promotion_choice.PausedReplica(name, status.received, self._is_promotable(name))
@@ -368,11 +370,17 @@
         """Resume replication, unless an order may take effect or another VM may rely on the pauses."""
         if self._keeps_pauses or not self._generation:
             return
+        self._tools.reports.release(self._service)
         try:
-            if await self._tools.claims.is_current(self._service, self._generation):
-                await instance_commands.send_to_all(self._links.values(), CODEC.encode_resume())
+            if not self._paused or not await self._tools.claims.is_current(self._service, self._generation):
+                return
         except (errors.PlatformUnavailableError, errors.MalformedObjectError) as error:
             self._bind().warning("replicas stay paused, store error: {}", error)
+            return
+        # A connection is lost with the answer to a pause that may have taken effect.
+        lost = [instance for instance in self._paused if not self._links[instance.id].open]
+        await instance_commands.connect_all(lost, self._links, self._tools.remote.make_room)
+        await instance_commands.send_to_all(self._links.values(), CODEC.encode_resume())
 
     def _bind(self, **facts: object) -> Any:
         return _log.bind(service=self._service, generation=self._generation, **facts)
--- a/src/currantlead/sessions/instances/fleet.py
+++ b/src/currantlead/sessions/instances/fleet.py
@@ -79,7 +79,8 @@
         region_of: Region of each failure domain.
 
     Attributes:
-        on_ordered: Called with service and instance when the promotion of an instance was ordered.
+        on_ordered: Called with service and instance when the promotion of an instance was ordered, or with an empty
+            identity when commits are held back until then.
         on_symptom: Called with instance, symptom and reason when this VM itself saw that an instance may have failed.
     """
 
@@ -248,6 +249,8 @@
         lack what any other one acknowledges.
         """
         now = clock.now()
+        if self._orders.is_held(service):
+            return None
         order = self._orders.of(service)
         if order is not None:
             ordered = self._instances.get(order.instance_id)
@@ -293,6 +296,16 @@
                 self.on_ordered(service, instance_id)
             self._notify_waiters()
 
+    def hold_commits(self, service: str) -> None:
+        """Send no commits to any instance of a service until an order is recorded, or for a second."""
+        self._orders.hold(service)
+        self.on_ordered(service, "")
+
+    def release_commits(self, service: str) -> None:
+        """Send commits again, because no order will be recorded."""
+        self._orders.release(service)
+        self._notify_waiters()
+
     def count_open_orders(self) -> int:
         """Return the number of services with a promotion that was called for and is not known to have taken effect."""
         return sum(self._orders.of(service) is not None for service in self._by_service)
@@ -300,6 +313,8 @@
     def is_replaced(self, instance_id: str) -> bool:
         """Return whether an open order names another instance of the service, so that this one may get no commits."""
         tracked = self._instances.get(instance_id)
+        if tracked is not None and self._orders.is_held(tracked.instance.service):
+            return True
         order = self._orders.of(tracked.instance.service) if tracked is not None else None
         return order is not None and order.instance_id != instance_id
 
--- a/src/currantlead/sessions/instances/replacements.py
+++ b/src/currantlead/sessions/instances/replacements.py
@@ -8,6 +8,10 @@
 """Time for which an instance that is gone is remembered. VMs that are gone for good leave the members after this time,
 so that the reports of the others are complete."""
 
+HOLD_S = 1.0
+"""Time after which commits that are held back for an order are sent again, because the VM that promotes has failed. The
+record of an order reaches the VMs in 0.2 s."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Departure:
@@ -68,6 +72,19 @@
 
     def __init__(self) -> None:
         self._orders: dict[str, OpenOrder] = {}
+        self._held_until: dict[str, float] = {}
+
+    def hold(self, service: str) -> None:
+        """Hold back the commits of a service until its next order, for ``HOLD_S`` seconds at most."""
+        self._held_until[service] = clock.now() + HOLD_S
+
+    def release(self, service: str) -> None:
+        """End the hold of a service."""
+        self._held_until.pop(service, None)
+
+    def is_held(self, service: str) -> bool:
+        """Return whether the commits of a service are held back."""
+        return clock.now() < self._held_until.get(service, 0.0)
 
     def of(self, service: str) -> OpenOrder | None:
         """Return the open order of a service, or None."""
@@ -81,6 +98,7 @@
             instance_id: Instance whose promotion may still take effect; empty if there is none.
             revision: Revision at which the store recorded it.
         """
+        self.release(service)
         known = self._orders.pop(service, None)
         is_same = (known.instance_id if known is not None else "") == instance_id
         if instance_id:
