--- a/tests/test_promotion_review.py
+++ b/tests/test_promotion_review.py
@@ -6,7 +6,7 @@
 import pytest
 
 from tests import promotion_bed, session_bed
-from tests.standins import loopback_proxy, replicated_log
+from tests.standins import loopback_proxy, object_store, replicated_log
 
 
 @pytest.fixture
@@ -141,7 +141,7 @@
 
 
 async def test_ordered_replica_leaves_before_its_promotion(bed):
-    """Guards against waiting for 20 s although the demoted primary, which can be reached, shows that nothing is missing.
+    """Guards against waiting for 20 s although the demoted primary can be reached and shows that nothing is missing.
 
     The VMs have been running for less than 10 s, so that their reports alone prove nothing.
     """
@@ -264,3 +264,29 @@
     answer = await commits[0]
     await promotion_bed.await_wrong_promotion(bed, present, timeout_s=3.0)
     assert not bed.service.lost, f"{bed.service.primary} was promoted without the commit, answered {answer}"
+
+
+async def test_ordered_replica_starts_again_without_its_log(bed):
+    """Guards against a late call that promotes an empty replica, because its order is not closed when it starts again."""
+    restarts = []
+
+    async def restart_empty(name):
+        replica = bed.service.instances[name]
+        await replica.stop()
+        # It receives nothing, because no instance leads.
+        replica.log = replicated_log.Log()
+        await replica.start()
+        bed.register_instance(name, born=2000)
+
+    def find_fault(path, fields, fence):
+        if restarts:
+            return None if fence > restarts[0][1] else object_store.Late(2.0)
+        restarts.append((asyncio.create_task(restart_empty(fields["id"])), fence))
+        return object_store.Late(2.0)
+
+    bed.store.duty_fault = find_fault
+    async with promotion_bed.write(bed) as writer:
+        bed.register_instance("i-1", state="draining")
+        await promotion_bed.wait_for_new_primary(bed, "i-1")
+    lost = [f"{item.commit.term}.{item.commit.number}" for item in bed.service.lost]
+    assert not lost and not promotion_bed.find_missing(bed, writer), f"{bed.service.primary} leads without {lost}"
