Stop calling for an instance that left or started again

A VM repeated its call for a replica that had started again without its log, until the platform carried one out: an empty replica led. The call now ends when the instance's entry shows another start, and the next attempt chooses anew, under a higher number.

--- a/src/currantlead/sessions/failover/promotion.py
+++ b/src/currantlead/sessions/failover/promotion.py
@@ -322,7 +322,7 @@
         if order is None:
             return "another VM has claimed the promotion duty"
         self._generation = order.generation
-        refusal = await self._tools.calls.call(order)
+        refusal = await self._tools.calls.call(order, self._watch_start(instance_id))
         if refusal:
             if not order.unanswered and await self._tools.calls.close(order):
                 self._keeps_pauses = False
@@ -336,6 +336,17 @@
             self._bind().warning("the order stays open, store error: {}", error)
         return ""
 
+    def _watch_start(self, instance_id: str) -> Callable[[], bool]:
+        """Return a function that tells whether an instance has neither left nor started again, without its log."""
+        known = self._tools.instances.get(instance_id)
+        started_at_ms = known.instance.started_at_ms if known is not None else None
+
+        def has_log() -> bool:
+            now_known = self._tools.instances.get(instance_id)
+            return (now_known.instance.started_at_ms if now_known is not None else None) == started_at_ms
+
+        return has_log
+
     async def _finish(self, order: promotion_calls.Order) -> None:
         """Resume the replicas that are still paused once the new primary leads, and close the order."""
         if not await self._await_effect(order.instance_id):
--- a/src/currantlead/sessions/failover/promotion_calls.py
+++ b/src/currantlead/sessions/failover/promotion_calls.py
@@ -79,10 +79,14 @@
         number = await self._claims.advance(service, generation, model.DutyStage.ORDERED, instance_id)
         return Order(service, instance_id, number) if number is not None else None
 
-    async def call(self, order: Order) -> str:
+    async def call(self, order: Order, has_log: Callable[[], bool] = lambda: True) -> str:
         """Repeat the call of an order until it is answered; return why it failed, or an empty string.
 
         It is not given up for lack of an answer, because no other instance may be promoted meanwhile.
+
+        Args:
+            order: The order.
+            has_log: Returns whether the instance still has the log for which it was chosen.
         """
         client = http.HttpClient(self._address)
         try:
@@ -90,6 +94,8 @@
                 latest = self._claims.latest(order.service)
                 if latest is not None and latest.generation > order.generation:
                     return "another VM has claimed the promotion duty"
+                if not has_log():
+                    return f"{order.instance_id} is gone or has started again"
                 status = await self._send(order, client)
                 if status == objects.OK:
                     return ""
