Hold commits until a later record than the claim, and end attempts that a late call overtook

Found by the state machine, the soak and a review of the promotions:

- A late call made the ordered replica lead between the first look of the next VM and its pauses.
A primary or a newer term in the last look ends the attempt.
- An attempt that took over an open order and stopped resumed the replicas.

--- a/src/currantlead/sessions/decisions/election.py
+++ b/src/currantlead/sessions/decisions/election.py
@@ -10,9 +10,9 @@
 RANK_DELAY_S = 0.7
 """Delay per rank. A promotion takes about 0.5 s, so a VM acts only if those ranked before it did not."""
 CLAIM_EXCLUSIVITY_S = 3.0
-"""Time for which a VM does not promote after another VM has claimed the promotion of the service. A promotion takes
-effect up to 1 s after its call, and a second promotion in between would roll back what the new primary has committed
-since."""
+"""Time for which a VM does not promote after another VM has claimed the promotion of the service, or recorded its
+order. A promotion takes effect up to 1 s after its call. After a longer time, the open order tells which instance to
+promote."""
 SILENCE_TIMEOUT_S = 0.4
 """A primary whose calls have only failed for this long is asked for its status, and replaced if that fails too."""
 STUCK_COMMITS_TIMEOUT_S = 0.6
--- a/src/currantlead/sessions/decisions/promotion_choice.py
+++ b/src/currantlead/sessions/decisions/promotion_choice.py
@@ -20,8 +20,8 @@
 """Minimum number of paused replicas for a promotion without the position of the old primary. One of two replicas is
 synchronous, and either may be the one, so the latest commit may be on either."""
 ACCOUNT_S = 10.0
-"""Time before the departure of an instance from which the reports of VMs have to reach back. A primary that is cut off
-from its other replicas for longer is replaced before, because it drains, lapses or fails."""
+"""Time before the departure of an instance from which the reports of VMs have to reach back. They are no proof if the
+primary was cut off from its other replicas for longer, nobody has committed since, and a VM has started again."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/currantlead/sessions/failover/commit_reports.py
+++ b/src/currantlead/sessions/failover/commit_reports.py
@@ -16,7 +16,7 @@
 
 ACKNOWLEDGED = "acknowledged"
 RELEASE = "release"
-BOUNDS, HOLDS, UP_S = "bounds", "holds", "up_s"
+BOUNDS, HELD_FOR, UP_S = "bounds", "held_for", "up_s"
 MAX_VMS = 16
 """Number of VMs up to which all are asked."""
 ANSWER_TIMEOUT_S = 0.3
@@ -76,7 +76,7 @@
         primary: model.Instance | None,
         *,
         skipped: Collection[str] = (),
-        holds: bool = False,
+        held_for: int = 0,
     ) -> CommitReport:
         """Ask the VMs what was acknowledged to callers; the report is complete if those on the way have answered.
 
@@ -84,16 +84,16 @@
             service: The service.
             primary: Its present primary, or None if it is unknown.
             skipped: VMs that are not asked, because they did not answer just before; they count as silent.
-            holds: Whether the VMs, this one included, hold back commits from their answer until the order is recorded,
-                so that none is acknowledged after the choice.
+            held_for: Generation number of the claim for which the VMs, this one included, hold back commits from their
+                answer until the order is recorded, so that none is acknowledged after the choice; 0 for no hold.
         """
         sources = list(self._sources(primary))
         others = self._members() if len(self._members()) <= MAX_VMS else ()
         own = self._peers.member.vm
         vms = [vm for vm in dict.fromkeys([*sources, *others]) if vm != own and vm not in skipped]
-        if holds:
-            self._fleet.hold_commits(service)
-        answers = await asyncio.gather(*(self._ask(vm, service, holds) for vm in vms))
+        if held_for:
+            self._fleet.hold_commits(service, held_for)
+        answers = await asyncio.gather(*(self._ask(vm, service, held_for) for vm in vms))
         known = [answer for answer in answers if answer is not None]
         answered = {vm for vm, answer in zip(vms, answers, strict=True) if answer is not None}
         unanswered = frozenset(skipped) | (set(vms) - answered)
@@ -103,18 +103,18 @@
         is_complete = unanswered.isdisjoint(sources)
         return CommitReport(merged, since if is_complete else float("inf"), unanswered)
 
-    def release(self, service: str) -> None:
-        """Let all VMs send commits again, because no order will be recorded."""
-        self._fleet.release_commits(service)
+    def release(self, service: str, held_for: int) -> None:
+        """Let all VMs send commits again, because no order will be recorded for a claim."""
+        self._fleet.release_commits(service, held_for)
         for vm in self._members():
             if vm != self._peers.member.vm:
-                self._peers.notify(vm, RELEASE, {"service": service})
+                self._peers.notify(vm, RELEASE, {"service": service, HELD_FOR: held_for})
 
-    async def _ask(self, vm: str, service: str, holds: bool) -> tuple[acknowledgements.Acknowledged, float] | None:
+    async def _ask(self, vm: str, service: str, held_for: int) -> tuple[acknowledgements.Acknowledged, float] | None:
         """Return what a VM knows, and since when, or None if it did not answer."""
         asked_at = clock.now()
         try:
-            question = {"service": service, HOLDS: holds}
+            question = {"service": service, HELD_FOR: held_for}
             answer = await self._peers.request(vm, ACKNOWLEDGED, question, timeout_s=ANSWER_TIMEOUT_S)
             bounds = acknowledgements.Acknowledged.decode(answer[BOUNDS], asked_at)
             # The earlier start would be safe only if the answer took no time.
@@ -126,11 +126,11 @@
         return None
 
     def _handle_request(self, vm: str, body: dict[str, Any]) -> dict[str, Any]:
-        if body.get(HOLDS):
-            self._fleet.hold_commits(str(body["service"]))
+        if body.get(HELD_FOR):
+            self._fleet.hold_commits(str(body["service"]), int(body[HELD_FOR]))
         now = clock.now()
         return {BOUNDS: self._acknowledged.of(str(body["service"])).encode(now), UP_S: now - self._started_at}
 
     def _handle_release(self, vm: str, body: dict[str, Any]) -> dict[str, Any]:
-        self._fleet.release_commits(str(body["service"]))
+        self._fleet.release_commits(str(body["service"]), int(body[HELD_FOR]))
         return {}
--- a/src/currantlead/sessions/failover/promotion.py
+++ b/src/currantlead/sessions/failover/promotion.py
@@ -1,9 +1,9 @@
 """One attempt to replace the primary of a service: the steps from the claim of the duty to the new primary.
 
-Three safeguards keep acknowledged commits, whatever happens between the steps. All replicas that may have acknowledged
-a commit have stopped receiving before one is chosen. The old primary is demoted, through another VM if this one cannot
-reach it. And the order is recorded before it is sent, after which VMs send no commits to another instance. What callers
-were told is compared with the choice, so that it is noticed if all of them fail.
+Three safeguards keep acknowledged commits between the steps. All replicas that may have acknowledged a commit have
+stopped receiving before one is chosen. The old primary is demoted, through another VM if this one cannot reach it. And
+the order is recorded before it is sent, after which the VMs that learn of it send no commits to another instance. What
+callers were told is compared with the choice.
 """
 
 import asyncio
@@ -183,8 +183,10 @@
             self._full.issuperset(missing) and (self._old_link is not None or bool(self._reached_by))
         )
 
-    async def _collect_report(self, *, holds: bool = False) -> commit_reports.CommitReport:
-        report = await self._tools.reports.collect(self._service, self._old, skipped=self._silent_vms, holds=holds)
+    async def _collect_report(self, *, held_for: int = 0) -> commit_reports.CommitReport:
+        report = await self._tools.reports.collect(
+            self._service, self._old, skipped=self._silent_vms, held_for=held_for
+        )
         self._silent_vms = report.unanswered
         return report
 
@@ -240,8 +242,11 @@
         await self._connect_replicas()
         self._paused = [item.instance for item in self._links.values()]
         await instance_commands.send_to_all(self._links.values(), CODEC.encode_pause(self._term))
-        report = await self._collect_report(holds=True)
+        report = await self._collect_report(held_for=self._generation)
         statuses = await self._read_statuses()
+        if any(status.role is model.Role.PRIMARY or status.term >= self._term for status in statuses.values()):
+            # A call of an earlier order has been carried out since the first look.
+            return "another promotion has taken effect"
         paused = [
             promotion_choice.PausedReplica(name, status.received, self._is_promotable(name))
             for name, status in statuses.items()
@@ -285,6 +290,8 @@
             promotion_choice.Departed(item.instance.id, item.gone_at, item.has_ended)
             for item in self._tools.instances.departures(self._service)
             if (item.instance.id, item.instance.started_at_ms) not in connected
+            # What the old primary acknowledged is on a replica, too.
+            and (self._old is None or item.instance.id != self._old.id)
         ]
         known_since = self._tools.instances.departures_known_since()
         if known_since is not None:
@@ -381,9 +388,13 @@
         """Resume replication, unless an order may take effect or another VM may rely on the pauses."""
         if self._keeps_pauses or not self._generation:
             return
-        self._tools.reports.release(self._service)
+        self._tools.reports.release(self._service, self._generation)
         try:
-            if not self._paused or not await self._tools.claims.is_current(self._service, self._generation):
+            if (
+                not self._paused
+                or self._open_order()
+                or not await self._tools.claims.is_current(self._service, self._generation)
+            ):
                 return
         except (errors.PlatformUnavailableError, errors.MalformedObjectError) as error:
             self._bind().warning("replicas stay paused, store error: {}", error)
--- a/src/currantlead/sessions/instances/fleet.py
+++ b/src/currantlead/sessions/instances/fleet.py
@@ -296,14 +296,19 @@
                 self.on_ordered(service, instance_id)
             self._notify_waiters()
 
-    def hold_commits(self, service: str) -> None:
-        """Send no commits to any instance of a service until an order is recorded, or for a second."""
-        self._orders.hold(service)
+    def hold_commits(self, service: str, revision: int) -> None:
+        """Send no commits to any instance of a service until an order is recorded, or for a second.
+
+        Args:
+            service: The service.
+            revision: Revision of the claim by which the order will be recorded.
+        """
+        self._orders.hold(service, revision)
         self.on_ordered(service, "")
 
-    def release_commits(self, service: str) -> None:
-        """Send commits again, because no order will be recorded."""
-        self._orders.release(service)
+    def release_commits(self, service: str, revision: int) -> None:
+        """Send commits again, because no order will be recorded by the claim of a revision."""
+        self._orders.release(service, revision)
         self._notify_waiters()
 
     def count_open_orders(self) -> int:
--- a/src/currantlead/sessions/instances/replacements.py
+++ b/src/currantlead/sessions/instances/replacements.py
@@ -67,24 +67,44 @@
     since: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hold:
+    """Commits of a service that are held back until an order is recorded.
+
+    Attributes:
+        revision: Revision of the claim that the hold is for.
+        until: Clock reading at which it ends by itself.
+    """
+
+    revision: int
+    until: float
+
+
 class OpenOrders:
     """Holds the open order of each service."""
 
     def __init__(self) -> None:
         self._orders: dict[str, OpenOrder] = {}
-        self._held_until: dict[str, float] = {}
+        self._holds: dict[str, Hold] = {}
+
+    def hold(self, service: str, revision: int) -> None:
+        """Hold back the commits of a service, for ``HOLD_S`` seconds at most.
 
-    def hold(self, service: str) -> None:
-        """Hold back the commits of a service until its next order, for ``HOLD_S`` seconds at most."""
-        self._held_until[service] = clock.now() + HOLD_S
+        Args:
+            service: The service.
+            revision: Revision of the claim that it is for. Entries of the duty up to this one do not end the hold.
+        """
+        self._holds[service] = Hold(revision, clock.now() + HOLD_S)
 
-    def release(self, service: str) -> None:
-        """End the hold of a service."""
-        self._held_until.pop(service, None)
+    def release(self, service: str, revision: int) -> None:
+        """End the hold of a service, unless it is for a claim of a later revision."""
+        if service in self._holds and revision >= self._holds[service].revision:
+            del self._holds[service]
 
     def is_held(self, service: str) -> bool:
         """Return whether the commits of a service are held back."""
-        return clock.now() < self._held_until.get(service, 0.0)
+        held = self._holds.get(service)
+        return held is not None and clock.now() < held.until
 
     def of(self, service: str) -> OpenOrder | None:
         """Return the open order of a service, or None."""
@@ -98,7 +118,7 @@
             instance_id: Instance whose promotion may still take effect; empty if there is none.
             revision: Revision at which the store recorded it.
         """
-        self.release(service)
+        self.release(service, revision - 1)
         known = self._orders.pop(service, None)
         is_same = (known.instance_id if known is not None else "") == instance_id
         if instance_id:
