Resume replicas that an earlier attempt left paused when the primary goes on

An attempt whose VM was killed after its pauses left replicas paused. Since promotions are compared with what callers were told, such replicas are not promoted, and the primary found no replica to acknowledge its commits once the others had left: no write succeeded any more.

A VM that holds the duty and leaves the primary in place now resumes the replicas that are paused, unless an order is open.

--- a/src/currantlead/sessions/failover/promotion.py
+++ b/src/currantlead/sessions/failover/promotion.py
@@ -148,6 +148,24 @@
         # Read before the positions of the replicas: those that have reached it lack nothing acknowledged before.
         old_status = await self._read_old()
         statuses = await self._read_statuses()
+        refusal = self._find_refusal(report, old_status, statuses)
+        paused = [self._links[name] for name, status in statuses.items() if status.paused_term]
+        if refusal and paused and old_status is not None and old_status.role is model.Role.PRIMARY:
+            await self._resume_for(paused)
+        return refusal
+
+    async def _resume_for(self, paused: list[link.Link]) -> None:
+        """Resume replicas that an earlier attempt left paused, as the old primary goes on."""
+        if not self._open_order() and await self._tools.claims.is_current(self._service, self._generation):
+            self._bind(instances=[item.instance.id for item in paused]).info("resuming paused replicas")
+            await instance_commands.send_to_all(paused, CODEC.encode_resume())
+
+    def _find_refusal(
+        self,
+        report: commit_reports.CommitReport,
+        old_status: model.InstanceStatus | None,
+        statuses: dict[str, model.InstanceStatus],
+    ) -> str:
         missing = sorted(instance.id for instance in self._known_replicas() if instance.id not in statuses)
         if not self._can_do_without(missing):
             return f"replicas did not answer the status request: {', '.join(missing)}"
--- a/tests/test_promotion_losses.py
+++ b/tests/test_promotion_losses.py
@@ -190,3 +190,16 @@
         await session_bed.wait_until(lambda: demoted, 5.0)
         await demoted[0]
         await promotion_bed.check_nothing_is_lost(bed, writer)
+
+
+async def test_replicas_that_an_attempt_left_paused_keep_the_primary_stuck(bed):
+    """Guards against writes that fail for ever, as paused replicas lack commits and nobody resumes them."""
+    async with promotion_bed.write(bed) as writer:
+        # Stuck commits cause no promotion in the first 6 s after a primary is first seen.
+        await asyncio.sleep(6.0)
+        for name in ("i-2", "i-3"):
+            bed.service.instances[name].paused_term = 2
+        bed.register_instance("i-4", state="draining")
+        await writer.wait_for_acknowledged(5, 3.0)
+        await bed.leave("i-4")
+        await promotion_bed.check_nothing_is_lost(bed, writer)
