Run failover on a model of instances, store and platform

A Hypothesis state machine runs the failover parts of three VMs in virtual time, over instances with logs, a store and a platform that may answer or act late, and paths that are cut in one direction. It checks that no promotion lacks an acknowledged commit, that numbers of calls are unique, and that the service recovers once all faults have ended.

On this code it loses commits in three ways, which also stand as schedules: a replica that leaves with the only copy, one that joins while the primary cannot be reached, and replicas that stay paused after overlapping claims with late calls.

--- /dev/null
+++ b/tests/test_succession_machine.py
@@ -0,0 +1,187 @@
+"""Stateful property test: promotions lose no acknowledged commit, whatever fails while several VMs run them."""
+
+import hypothesis
+import pytest
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from tests import promotion_model
+
+VMS = st.integers(0, 2)
+INSTANCES = st.integers(0, 5)
+PAUSES_S = st.sampled_from([0.0, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0])
+DIRECTIONS = st.sampled_from(["both", "to", "from"])
+
+
+class SuccessionMachine(stateful.RuleBasedStateMachine):
+    """A service with three VMs; every rule lets a drawn time pass afterwards."""
+
+    @stateful.initialize(seed=st.integers(0, 1000))
+    def start(self, seed):
+        """Start the service; the seed decides delays and which calls fail."""
+        self.world = promotion_model.World(seed)
+
+    def _instance(self, index):
+        """Return an instance; 0 is the primary."""
+        others = [item for item in self.world.instances.values() if item is not self.world.primary]
+        return [self.world.primary or others[0], *others][index % (len(others) + 1)]
+
+    def _cut(self, one, other, direction):
+        if direction in ("both", "to"):
+            self.world.cut.add((one, other))
+        if direction in ("both", "from"):
+            self.world.cut.add((other, one))
+
+    @stateful.rule(seconds=PAUSES_S)
+    def wait(self, seconds):
+        """Let time pass."""
+        self.world.run(seconds)
+
+    @stateful.rule(vms=st.sets(VMS, min_size=1), index=st.just(0) | INSTANCES, direction=DIRECTIONS, pause_s=PAUSES_S)
+    def cut_from_vms(self, vms, index, direction, pause_s):
+        """Cut VMs off from an instance, mostly the primary."""
+        for vm in vms:
+            self._cut(self.world.names[vm], self._instance(index).name, direction)
+        self.world.run(pause_s)
+
+    @stateful.rule(replicas=st.sets(st.integers(1, 5), min_size=1), direction=DIRECTIONS, pause_s=PAUSES_S)
+    def cut_replication(self, replicas, direction, pause_s):
+        """Cut the primary off from replicas."""
+        primary = self._instance(0)
+        for index in replicas:
+            if self._instance(index) is not primary:
+                self._cut(primary.name, self._instance(index).name, direction)
+        self.world.run(pause_s)
+
+    @stateful.rule(drain_s=st.sampled_from([3.0, 5.0]), direction=DIRECTIONS, pause_s=PAUSES_S)
+    def cut_except_draining(self, drain_s, direction, pause_s):
+        """Let one replica drain, and cut the primary off from the replicas that don't drain."""
+        primary = self._instance(0)
+        self.drain(1, drain_s, 0.4)
+        for item in self.world.instances.values():
+            if item is not primary and not item.draining:
+                self._cut(primary.name, item.name, direction)
+        self.world.run(pause_s)
+
+    @stateful.rule(vm=VMS, other=VMS | st.just(promotion_model.STORE), direction=DIRECTIONS, pause_s=PAUSES_S)
+    def cut_vm(self, vm, other, direction, pause_s):
+        """Cut a VM off from another one or from the store."""
+        name = other if other == promotion_model.STORE else self.world.names[other]
+        if name != self.world.names[vm]:
+            self._cut(self.world.names[vm], name, direction)
+        self.world.run(pause_s)
+
+    @stateful.rule(pause_s=PAUSES_S)
+    def mend_paths(self, pause_s):
+        """Mend all paths."""
+        self.world.cut.clear()
+        self.world.run(pause_s)
+
+    @stateful.rule(pause_s=PAUSES_S)
+    def join(self, pause_s):
+        """Add a replica."""
+        if len(self.world.instances) < 6:
+            self.world.join()
+        self.world.run(pause_s)
+
+    @stateful.rule(index=INSTANCES, drain_s=st.sampled_from([3.0, 5.0, 8.0]), pause_s=PAUSES_S)
+    def drain(self, index, drain_s, pause_s):
+        """Let an instance leave."""
+        item = self._instance(index)
+        if item.running and not item.draining:
+            self.world.drain(item, drain_s)
+        self.world.run(pause_s)
+
+    @stateful.rule(index=INSTANCES, pause_s=PAUSES_S)
+    def crash_or_restart(self, index, pause_s):
+        """Crash an instance, or restart it with its log."""
+        item = self._instance(index)
+        if item.running:
+            item.crash()
+        else:
+            item.restart()
+        self.world.run(pause_s)
+
+    @stateful.rule(vm=VMS, pause_s=PAUSES_S)
+    def freeze_or_thaw(self, vm, pause_s):
+        """Freeze a VM, or let it go on."""
+        awake = self.world.vms[self.world.names[vm]].awake
+        if awake.is_set():
+            awake.clear()
+        else:
+            awake.set()
+        self.world.run(pause_s)
+
+    @stateful.rule(vm=VMS, pause_s=PAUSES_S)
+    def restart_vm(self, vm, pause_s):
+        """Kill a VM and start it again."""
+        self.world.loop.run_until_complete(self._start_vm(self.world.names[vm]))
+        self.world.run(pause_s)
+
+    async def _start_vm(self, name):
+        self.world.start_vm(name)
+
+    @stateful.rule(faults=st.sampled_from([[""], ["", "late"], ["late"], ["", "late", "lost", "down"]]))
+    def set_call_faults(self, faults):
+        """Let part of the promotion calls get no answer, or take effect late."""
+        self.world.call_faults = faults
+
+    @stateful.rule(faults=st.sampled_from([[""], ["", "lost"], ["", "late", "down"]]))
+    def set_store_faults(self, faults):
+        """Let part of the store's calls get no answer, or take effect late."""
+        self.world.store_faults = faults
+
+    @stateful.invariant()
+    def is_safe(self):
+        """Check the promotions that took effect."""
+        if hasattr(self, "world"):
+            self.world.check()
+
+    def teardown(self):
+        """Check that the service recovers once all faults have ended."""
+        if hasattr(self, "world"):
+            try:
+                # A failed check of safety is not repeated.
+                if not any(effect.lost for effect in self.world.effects):
+                    recovered = self.world.recover()
+                    self.world.check()
+                    assert recovered, "the service does not recover"
+            finally:
+                self.world.close()
+
+
+# Shrinking a failure takes minutes.
+TestSuccessionMachine = pytest.mark.timeout(400)(SuccessionMachine.TestCase)
+TestSuccessionMachine.settings = hypothesis.settings(
+    stateful_step_count=20, max_examples=max(250, hypothesis.settings.default.max_examples)
+)
+
+
+def _leave_with_the_only_copy(machine):
+    machine.cut_except_draining(drain_s=3.0, direction="both", pause_s=3.0)
+    machine.drain(index=0, drain_s=8.0, pause_s=3.0)
+
+
+def _join_while_the_primary_is_unreachable(machine):
+    machine.cut_from_vms(vms={0, 1}, index=0, direction="both", pause_s=1.0)
+    machine.join(pause_s=3.0)
+
+
+def _overlap_with_late_calls(machine):
+    machine.set_call_faults(faults=["late"])
+    machine.drain(index=0, drain_s=8.0, pause_s=3.0)
+    machine.wait(seconds=6.0)
+    machine.crash_or_restart(index=0, pause_s=3.0)
+
+
+@pytest.mark.parametrize(
+    "schedule", [_leave_with_the_only_copy, _join_while_the_primary_is_unreachable, _overlap_with_late_calls]
+)
+def test_acknowledged_commits_survive(schedule):
+    """Guards against the three losses of the incident: a replica that left, one that joined, and late calls."""
+    for seed in range(10):
+        machine = SuccessionMachine()
+        machine.start(seed=seed)
+        schedule(machine)
+        machine.is_safe()
+        machine.teardown()
