Run the failover model on recorded orders, and keep what it finds

The model finds these on the new code, each as a schedule now:

- The order for the old primary is repeated for seconds before the replicas are paused.
What was known before of the old primary's reachability is used afterwards: it was silent, so it is not demoted, but it has restarted meanwhile.
- The old primary cannot be reached at the demotion and can be again between the choice and the effect, after a restart or because paths were mended.
A replica that has just joined receives its commits.
VMs send them until the store tells them of the order; the demotion is tried once and not again.
- The same through a VM that no other VM reaches, because it was frozen or is cut off from them.
- The store refuses the order after the pauses, and the old primary answers again before the next attempt.
No VM finds a reason to act then, and the replicas stay paused.

--- a/tests/promotion_model.py
+++ b/tests/promotion_model.py
@@ -18,7 +18,7 @@
 from currantlead.platform import objects
 from currantlead.sessions import clock, model, settings, statements
 from currantlead.sessions.decisions import acknowledgements
-from currantlead.sessions.failover import commit_reports, succession
+from currantlead.sessions.failover import commit_reports, remote_demotion, succession
 from currantlead.sessions.instances import alarms, fleet, link
 from currantlead.sessions.shared import duty_claims, http
 from tests import virtual_time
@@ -286,9 +286,12 @@
         self.acknowledged = acknowledgements.AcknowledgedCommits()
         self.claims = duty_claims.DutyClaims(self.store, self.name)
         self.alarms = alarms.Alarms(self.fleet, self.network, self.responsive)
-        self.reports = commit_reports.CommitReports(self.network, self.acknowledged, lambda primary: self.world.names)
+        self.reports = commit_reports.CommitReports(
+            self.network, self.acknowledged, lambda primary: self.world.names, lambda: self.world.names
+        )
+        demotion = remote_demotion.RemoteDemotion(self.network, self.fleet, lambda instance: self.responsive())
         self.failover = succession.Failover(
-            self.fleet, self.store, self.claims, settings.Address("127.0.0.1", 1), self.reports,
+            self.fleet, self.store, self.claims, settings.Address("127.0.0.1", 1), self.reports, demotion,
             vm=self.name, members=self.responsive, configured=lambda: {SERVICE},
         )  # fmt: skip
         self.poll()
@@ -322,7 +325,8 @@
                 self.fleet.update(instance, self.polled_at)
             else:
                 stored = objects.StoredObject(name, revision, value)
-                self.claims.record(name, objects.decode_duty(stored), revision)
+                duty = objects.decode_duty(stored)
+                self.claims.record(name, duty.holder, revision, duty.stage, duty.ordered)
         for _, name in self.seen.keys() - self.world.objects.keys():
             self.fleet.remove(name)
         self.seen, self.polled_at = dict(self.world.objects), clock.now()
@@ -348,6 +352,8 @@
         name, sent_at, before = tracked.instance.id, clock.now(), self.position
         try:
             connection = await Link.connect(tracked.instance, "org")
+            if self.fleet.is_replaced(name):
+                return
             (reply,) = await connection.exchange(b"QUERY c1 WRITE a b", timeout_s=COMMIT_TIMEOUT_S)
         except errors.LinkRefusedError:
             self.fleet.mark_suspect(name, "connection failed")
--- a/tests/test_succession_machine.py
+++ b/tests/test_succession_machine.py
@@ -174,12 +174,57 @@
     machine.crash_or_restart(index=0, pause_s=3.0)
 
 
+def _primary_restarts_after_the_choice(machine):
+    machine.crash_or_restart(index=0, pause_s=0.8)
+    machine.crash_or_restart(index=0, pause_s=0.0)
+    machine.join(pause_s=1.5)
+
+
+def _primary_is_reachable_again_after_the_choice(machine):
+    machine.cut_from_vms(vms={0, 1, 2}, index=0, direction="both", pause_s=1.8)
+    machine.mend_paths(pause_s=0.0)
+    machine.join(pause_s=1.5)
+
+
+def _only_a_vm_that_was_frozen_reaches_the_primary(machine):
+    machine.freeze_or_thaw(vm=2, pause_s=0.0)
+    machine.cut_from_vms(vms={0, 1}, index=0, direction="both", pause_s=1.8)
+    machine.join(pause_s=0.2)
+    machine.freeze_or_thaw(vm=2, pause_s=1.5)
+
+
+def _only_a_vm_without_contact_reaches_the_primary(machine):
+    machine.cut_vm(vm=2, other=0, direction="both", pause_s=0.0)
+    machine.cut_vm(vm=2, other=1, direction="both", pause_s=0.0)
+    machine.cut_from_vms(vms={0, 1}, index=0, direction="both", pause_s=2.0)
+    machine.join(pause_s=1.5)
+
+
+def _store_fails_between_pause_and_order(machine):
+    machine.mend_paths(pause_s=0.1)
+    machine.set_store_faults(faults=["", "late", "down"])
+    machine.crash_or_restart(index=4, pause_s=0.8)
+    machine.freeze_or_thaw(vm=2, pause_s=0.0)
+    machine.cut_vm(vm=2, other=0, direction="both", pause_s=1.5)
+    machine.join(pause_s=0.0)
+
+
 @pytest.mark.parametrize(
-    "schedule", [_leave_with_the_only_copy, _join_while_the_primary_is_unreachable, _overlap_with_late_calls]
+    ("schedule", "seeds"),
+    [
+        (_leave_with_the_only_copy, range(10)),
+        (_join_while_the_primary_is_unreachable, range(10)),
+        (_overlap_with_late_calls, range(10)),
+        (_primary_restarts_after_the_choice, range(10)),
+        (_primary_is_reachable_again_after_the_choice, range(10)),
+        (_only_a_vm_that_was_frozen_reaches_the_primary, range(10)),
+        (_only_a_vm_without_contact_reaches_the_primary, range(10)),
+        (_store_fails_between_pause_and_order, [360]),
+    ],
 )
-def test_acknowledged_commits_survive(schedule):
-    """Guards against the three losses of the incident: a replica that left, one that joined, and late calls."""
-    for seed in range(10):
+def test_acknowledged_commits_survive(schedule, seeds):
+    """Guards against losses and lasting pauses that the state machine has found; most seeds decide when calls act."""
+    for seed in seeds:
         machine = SuccessionMachine()
         machine.start(seed=seed)
         schedule(machine)
