--- a/tests/promotion_model.py
+++ b/tests/promotion_model.py
@@ -542,10 +542,12 @@
                 received = received or not self.is_cut(item.name, primary.name)
         if received:
             for position, waiter, vm in primary.waiters:
+                # One that has timed out is in doubt for its caller.
+                if waiter.done():
+                    continue
+                waiter.set_result(None)
                 if vm.alive and not self.is_cut(primary.name, vm.name):
                     self.acknowledged[position] = self.loop.time()
-                if not waiter.done():
-                    waiter.set_result(None)
             primary.waiters = []
 
     def join(self, log=None, delay_s=None):
