Show a loss when a late call acts during the next attempt

VM 1 orders i-2, its calls get no answer. VM 2 finds the order open and claims; it demotes the old primary, and before it has paused the replicas a late call makes i-2 lead. The status of i-2 says so, but a primary is left out of the paused replicas, and since the old primary was demoted one may be missing: i-3 is promoted, and what i-2 has acknowledged meanwhile is lost.

--- a/tests/promotion_model.py
+++ b/tests/promotion_model.py
@@ -18,7 +18,7 @@
 from currantlead.platform import objects
 from currantlead.sessions import clock, model, settings, statements
 from currantlead.sessions.decisions import acknowledgements
-from currantlead.sessions.failover import commit_reports, remote_demotion, succession
+from currantlead.sessions.failover import commit_reports, remote_commands, succession
 from currantlead.sessions.instances import alarms, fleet, link
 from currantlead.sessions.shared import duty_claims, http
 from tests import virtual_time
@@ -292,12 +292,12 @@
             self.network, self.acknowledged, lambda primary: self.world.names, lambda: self.world.names
         )
         self.fleet.on_ordered = self._abort_commits
-        demotion = remote_demotion.RemoteDemotion(
+        remote = remote_commands.RemoteCommands(
             self.network, self.fleet, lambda instance: self.responsive(), lambda instance_id: False
         )
         self.failover = succession.Failover(
-            self.fleet, self.store, self.claims, settings.Address("127.0.0.1", 1), self.reports, demotion,
-            vm=self.name, close_idle=lambda instance_id: False, members=self.responsive, configured=lambda: {SERVICE},
+            self.fleet, self.store, self.claims, settings.Address("127.0.0.1", 1), self.reports, remote,
+            vm=self.name, members=self.responsive, configured=lambda: {SERVICE},
         )  # fmt: skip
         self.poll()
 
--- a/tests/test_succession_machine.py
+++ b/tests/test_succession_machine.py
@@ -223,6 +223,13 @@
     machine.mend_paths(pause_s=3.0)
 
 
+def _late_call_acts_during_the_next_attempt(machine):
+    machine.set_call_faults(faults=["late"])
+    machine.cut_from_vms(vms={0, 1, 2}, index=0, direction="both", pause_s=3.0)
+    machine.freeze_or_thaw(vm=1, pause_s=0.0)
+    machine.mend_paths(pause_s=9.0)
+
+
 SEEDS_BY_SCHEDULE = {
     _leave_with_the_only_copy: range(10),
     _join_while_the_primary_is_unreachable: range(10),
@@ -234,6 +241,7 @@
     _store_fails_between_pause_and_order: [360],
     _answer_to_a_pause_is_lost: range(10),
     _vm_is_frozen_after_its_pauses: range(10),
+    _late_call_acts_during_the_next_attempt: [68],
 }
 
 
