--- a/tests/promotion_model.py
+++ b/tests/promotion_model.py
@@ -139,6 +139,11 @@
             raise errors.LinkRefusedError("connection refused", overloaded=False)
         return cls(instance, vm)
 
+    @property
+    def open(self):
+        """Whether this side has not closed the connection."""
+        return not self.closed
+
     def close(self):
         """Close the connection."""
         self.closed = True
@@ -289,7 +294,7 @@
         self.claims = duty_claims.DutyClaims(self.store, self.name)
         self.alarms = alarms.Alarms(self.fleet, self.network, self.responsive)
         self.reports = commit_reports.CommitReports(
-            self.network, self.acknowledged, lambda primary: self.world.names, lambda: self.world.names
+            self.network, self.fleet, self.acknowledged, lambda primary: self.world.names, lambda: self.world.names
         )
         self.fleet.on_ordered = self._abort_commits
         remote = remote_commands.RemoteCommands(
--- a/tests/test_succession_machine.py
+++ b/tests/test_succession_machine.py
@@ -230,6 +230,19 @@
     machine.mend_paths(pause_s=9.0)
 
 
+def _store_refuses_the_order(machine):
+    machine.crash_or_restart(index=4, pause_s=0.8)
+    machine.set_store_faults(faults=["", "late", "down"])
+    machine.join(pause_s=0.1)
+
+
+def _vm_is_killed_after_its_pauses(machine):
+    machine.cut_from_vms(vms={0, 1, 2}, index=0, direction="both", pause_s=1.5)
+    machine.cut_except_draining(drain_s=3.0, direction="to", pause_s=0.1)
+    machine.restart_vm(vm=1, pause_s=0.0)
+    machine.join(pause_s=0.0)
+
+
 SEEDS_BY_SCHEDULE = {
     _leave_with_the_only_copy: range(10),
     _join_while_the_primary_is_unreachable: range(10),
@@ -242,6 +255,8 @@
     _answer_to_a_pause_is_lost: range(10),
     _vm_is_frozen_after_its_pauses: range(10),
     _late_call_acts_during_the_next_attempt: [68],
+    _store_refuses_the_order: [784],
+    _vm_is_killed_after_its_pauses: [912],
 }
 
 
