Divide the soak into its run, its sessions and the command

The faults, the load and the checks of each seed are unchanged; the record also keeps which VM answered each acknowledged write, and when.

--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import time
 from collections.abc import Mapping, Sequence
 
 from tests.standins import line_instance
@@ -75,6 +76,7 @@
 
     Attributes:
         acknowledged: Request, item and value of each acknowledged write.
+        answers: Unix time and VM of the answer to each acknowledged write, by request.
         not_run: Requests of the writes that were reported as not run.
         transactions: Requests of the two writes of each transaction.
         unexpected_reads: Request, item, value found, and last acknowledged value of each read that found another one.
@@ -84,6 +86,7 @@
     """
 
     acknowledged: list[tuple[str, str, str]] = dataclasses.field(default_factory=list)
+    answers: dict[str, tuple[float, str]] = dataclasses.field(default_factory=dict)
     not_run: set[str] = dataclasses.field(default_factory=set)
     transactions: list[tuple[str, str]] = dataclasses.field(default_factory=list)
     unexpected_reads: list[tuple[str, str, str, str]] = dataclasses.field(default_factory=list)
@@ -91,6 +94,11 @@
     revocations: list[tuple[float, float]] = dataclasses.field(default_factory=list)
     evacuations: list[tuple[str, float, float]] = dataclasses.field(default_factory=list)
 
+    def acknowledge(self, vm: str, *writes: tuple[str, str, str]) -> None:
+        """Record that a VM reported writes as completed."""
+        self.acknowledged += writes
+        self.answers |= {request: (time.time(), vm) for request, _, _ in writes}
+
 
 def check(record: Record, service: line_instance.Service, result: Result) -> None:
     """Count the violations of a run in its result.
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -9,12 +9,12 @@
 from tests.standins import loopback_proxy
 
 if TYPE_CHECKING:
-    from tools import users_demo
+    from tools import soak_run
 
 LOST_REVISIONS = 100
 """Revisions that a restored store gives out again beside those of the changes that are written again."""
 
-FaultFunction = Callable[["users_demo.Soak"], Awaitable[None]]
+FaultFunction = Callable[["soak_run.Soak"], Awaitable[None]]
 
 SINGLE_FAULTS: dict[str, FaultFunction] = {}
 """Faults of one daemon, connection, instance, or of the store, by name."""
@@ -47,7 +47,7 @@
 
 
 async def _apply_fault(
-    soak: "users_demo.Soak", to_target: loopback_proxy.Fault, from_target: loopback_proxy.Fault
+    soak: "soak_run.Soak", to_target: loopback_proxy.Fault, from_target: loopback_proxy.Fault
 ) -> None:
     proxy = soak.random.choice(list(soak.proxies.values()))
     proxy.to_target, proxy.from_target = to_target, from_target
@@ -56,46 +56,46 @@
 
 
 @register("delay")
-async def delay(soak: "users_demo.Soak") -> None:
+async def delay(soak: "soak_run.Soak") -> None:
     """Delay the data in both directions through one proxy."""
     fault = loopback_proxy.Fault(delay_s=soak.random.uniform(0.05, 0.6))
     await _apply_fault(soak, fault, fault)
 
 
 @register("cut_one_way")
-async def cut_one_way(soak: "users_demo.Soak") -> None:
+async def cut_one_way(soak: "soak_run.Soak") -> None:
     """Drop the data in one direction through one proxy."""
     dropped, none = loopback_proxy.Fault(dropped=True), loopback_proxy.Fault()
     await _apply_fault(soak, *((dropped, none) if soak.random.random() < 0.5 else (none, dropped)))
 
 
 @register("silence_connections")
-async def silence_connections(soak: "users_demo.Soak") -> None:
+async def silence_connections(soak: "soak_run.Soak") -> None:
     """Drop the data in both directions through one proxy."""
     dropped = loopback_proxy.Fault(dropped=True)
     await _apply_fault(soak, dropped, dropped)
 
 
 @register("reset", SINGLE_FAULTS, FLEET_FAULTS, REST_FAULTS)
-async def reset(soak: "users_demo.Soak") -> None:
+async def reset(soak: "soak_run.Soak") -> None:
     """Reset the connections through one proxy."""
     soak.random.choice(list(soak.proxies.values())).reset()
 
 
 @register("kill", SINGLE_FAULTS, FLEET_FAULTS, STORE_FAULTS, REST_FAULTS)
-async def kill(soak: "users_demo.Soak") -> None:
+async def kill(soak: "soak_run.Soak") -> None:
     """Kill a daemon."""
     soak.random.choice(soak.vms).signal(signal.SIGKILL)
 
 
 @register("stop", SINGLE_FAULTS, FLEET_FAULTS, STORE_FAULTS, REST_FAULTS)
-async def stop(soak: "users_demo.Soak") -> None:
+async def stop(soak: "soak_run.Soak") -> None:
     """Shut a daemon down gracefully."""
     soak.random.choice(soak.vms).signal(signal.SIGTERM)
 
 
 @register("pause")
-async def pause(soak: "users_demo.Soak") -> None:
+async def pause(soak: "soak_run.Soak") -> None:
     """Suspend a daemon temporarily."""
     vm = soak.random.choice(soak.vms)
     vm.signal(signal.SIGSTOP)
@@ -104,7 +104,7 @@
 
 
 @register("silence")
-async def silence(soak: "users_demo.Soak") -> None:
+async def silence(soak: "soak_run.Soak") -> None:
     """Make the primary temporarily unresponsive; during a promotion there is none."""
     if not soak.service.primary:
         return
@@ -115,19 +115,19 @@
 
 
 @register("lag", SINGLE_FAULTS, FLEET_FAULTS, STORE_FAULTS, REST_FAULTS)
-async def lag(soak: "users_demo.Soak") -> None:
+async def lag(soak: "soak_run.Soak") -> None:
     """Set random replication lags."""
     soak.service.lag_s = {name: soak.random.uniform(0.1, 3.0) for name in soak.service.instances}
 
 
 @register("lose_answers", SINGLE_FAULTS, FLEET_FAULTS, STORE_FAULTS, REST_FAULTS)
-async def lose_answers(soak: "users_demo.Soak") -> None:
+async def lose_answers(soak: "soak_run.Soak") -> None:
     """Drop the next responses of an instance."""
     soak.random.choice(list(soak.service.instances.values())).lose_answers = soak.random.randrange(1, 4)
 
 
 @register("refuse_store")
-async def refuse_store(soak: "users_demo.Soak") -> None:
+async def refuse_store(soak: "soak_run.Soak") -> None:
     """Make the store temporarily refuse requests or drop responses."""
     fault = soak.random.choice([429, 503, "reset", "lost"])
     soak.store.fault = lambda method, path: fault
@@ -136,7 +136,7 @@
 
 
 @register("withdraw_key", SINGLE_FAULTS, FLEET_FAULTS, STORE_FAULTS)
-async def withdraw_key(soak: "users_demo.Soak") -> None:
+async def withdraw_key(soak: "soak_run.Soak") -> None:
     """Revoke the API key of the second organisation and restore it later."""
     if soak.revokes_key:
         return
@@ -148,24 +148,24 @@
 
 
 @register("forget_history")
-async def forget_history(soak: "users_demo.Soak") -> None:
+async def forget_history(soak: "soak_run.Soak") -> None:
     """Drop the event history of the store."""
     soak.store.drop_history()
 
 
 @register("lose_watches", STORE_FAULTS)
-async def lose_watches(soak: "users_demo.Soak") -> None:
+async def lose_watches(soak: "soak_run.Soak") -> None:
     """Evacuate a failure domain while the store drops its history and leaves the pending watches unanswered."""
     await _evacuate(soak, missed=True)
 
 
 @register("evacuate", STORE_FAULTS)
-async def evacuate(soak: "users_demo.Soak") -> None:
+async def evacuate(soak: "soak_run.Soak") -> None:
     """Evacuate a failure domain for a while."""
     await _evacuate(soak, missed=False)
 
 
-async def _evacuate(soak: "users_demo.Soak", *, missed: bool) -> None:
+async def _evacuate(soak: "soak_run.Soak", *, missed: bool) -> None:
     if soak.record.evacuations and soak.record.evacuations[-1][2] == float("inf"):
         return
     domain = f"z{soak.random.randrange(1, 4)}"
@@ -180,7 +180,7 @@
 
 
 @register("restore_store", STORE_FAULTS)
-async def restore_store(soak: "users_demo.Soak") -> None:
+async def restore_store(soak: "soak_run.Soak") -> None:
     """Restore the store from a copy after a short outage, and revoke a key after that.
 
     The operator and the instances write their last state again before the store answers.
@@ -201,7 +201,7 @@
 
 
 @register("drain_primary", SINGLE_FAULTS, FLEET_FAULTS, STORE_FAULTS)
-async def drain_primary(soak: "users_demo.Soak") -> None:
+async def drain_primary(soak: "soak_run.Soak") -> None:
     """Mark the primary as draining for 2 s; during a promotion there is none."""
     name = soak.service.primary
     if not name:
@@ -213,7 +213,7 @@
 
 
 @register("kill_repeatedly", REST_FAULTS)
-async def kill_repeatedly(soak: "users_demo.Soak") -> None:
+async def kill_repeatedly(soak: "soak_run.Soak") -> None:
     """Kill a daemon four times, 0.8 to 2 s apart."""
     vm = soak.random.choice(soak.vms)
     for _ in range(4):
@@ -222,14 +222,14 @@
 
 
 @register("power_cut", FLEET_FAULTS, REST_FAULTS)
-async def power_cut(soak: "users_demo.Soak") -> None:
+async def power_cut(soak: "soak_run.Soak") -> None:
     """Kill all daemons at once."""
     for vm in soak.vms:
         vm.signal(signal.SIGKILL)
 
 
 @register("rolling_stop", FLEET_FAULTS)
-async def rolling_stop(soak: "users_demo.Soak") -> None:
+async def rolling_stop(soak: "soak_run.Soak") -> None:
     """Shut all daemons down in turn."""
     for vm in soak.vms:
         vm.signal(signal.SIGTERM)
@@ -237,7 +237,7 @@
 
 
 @register("reload", FLEET_FAULTS)
-async def reload(soak: "users_demo.Soak") -> None:
+async def reload(soak: "soak_run.Soak") -> None:
     """Change a daemon's settings file, at times to an invalid one, with or without SIGHUP."""
     vm = soak.random.choice(soak.vms)
     valid, changed = "graceS = 6\n", soak.random.choice(["graceS = 5\n", "graceS = 'soon'\n", "graceS = \n"])
@@ -249,14 +249,14 @@
 
 
 @register("swallow_answers", FLEET_FAULTS)
-async def swallow_answers(soak: "users_demo.Soak") -> None:
+async def swallow_answers(soak: "soak_run.Soak") -> None:
     """Make an instance run the next statements without answering them."""
     instance = soak.random.choice(list(soak.service.instances.values()))
     instance.swallow_answers = soak.random.randrange(1, 4)
 
 
 @register("withdraw_key_from_isolated", FLEET_FAULTS)
-async def withdraw_key_from_isolated(soak: "users_demo.Soak") -> None:
+async def withdraw_key_from_isolated(soak: "soak_run.Soak") -> None:
     """Revoke the key of the second organisation while a daemon cannot reach the store."""
     proxy = soak.proxies[f"store of {soak.random.choice(soak.vms).name}"]
     proxy.to_target = proxy.from_target = loopback_proxy.Fault(dropped=True)
