Add faults around promotions to the soak

Instances join, drain and leave with their logs, crash, restart, and are dark or cut off, from each other or from some VMs; promotion calls are carried out late, the store refuses some VMs, and VMs are killed, shut down and suspended.

--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,7 @@
 	$(BIN)/python -m tools.users_demo --seed $(SEED) --seconds 30 --store
 	$(BIN)/python -m tools.users_demo --seed $(SEED) --seconds 30 --fleet --load
 	$(BIN)/python -m tools.users_demo --seed $(SEED) --seconds 30 --rests
+	$(BIN)/python -m tools.users_demo --seed $(SEED) --seconds 30 --promotions
 
 bench: setup
 	$(BIN)/python -m tools.bench
--- a/tests/standins/loopback_proxy.py
+++ b/tests/standins/loopback_proxy.py
@@ -24,6 +24,7 @@
 
     Attributes:
         port: Port that clients connect to.
+        target_port: Port that new connections are forwarded to.
         to_target: Fault in the direction from the client to the target.
         from_target: Fault in the direction from the target to the client.
     """
@@ -32,7 +33,7 @@
         self.port = 0
         self.to_target = Fault()
         self.from_target = Fault()
-        self._target_port = target_port
+        self.target_port = target_port
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -62,7 +63,7 @@
         self._writers.add(writer)
         target_writer = None
         try:
-            target_reader, target_writer = await asyncio.open_connection("127.0.0.1", self._target_port)
+            target_reader, target_writer = await asyncio.open_connection("127.0.0.1", self.target_port)
             self._writers.add(target_writer)
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._forward(reader, target_writer, "to_target"))
--- a/tests/standins/object_store.py
+++ b/tests/standins/object_store.py
@@ -64,6 +64,7 @@
         calls: Method and path of each call, in order.
         duty_calls: Calls with a fencing token that were carried out, in order.
         usage_calls: Time, window, counts, holder, fencing token and status of each report of usage, in order.
+        serving_port: Port at which the call came in that ``fault`` is asked about; see ``add_view``.
         fault: Called with method and path of each call. Returns the fault to inject: a status to respond with without
             handling the call, "silent" (no response), "reset" (connection reset before the call is handled), "lost"
             (connection reset after the call took effect), or None.
@@ -96,6 +97,7 @@
         self.rewrite: Callable[[str, Any], Any] = lambda kind, value: value
         self.promote: Callable[[str, str], bool] = lambda service, instance: True
         self.port = 0
+        self.serving_port = 0
         self._server: asyncio.Server | None = None
         self._changed = asyncio.Event()
         self._writers: set[asyncio.StreamWriter] = set()
@@ -130,11 +132,6 @@
         self._views[port] = {old.encode(): new.encode() for old, new in replaced.items()}
         return port
 
-    @property
-    def late_calls(self) -> int:
-        """Number of calls that wait with the fault ``Late``."""
-        return len(self._late_calls)
-
     def carry_out_late_calls(self) -> int:
         """Carry out the calls that wait with the fault ``Late``, in order, and return how many there were."""
         waiting, self._late_calls = self._late_calls, {}
@@ -234,6 +231,7 @@
         method, target = request.method.decode(), request.target.decode()
         self.calls.append((method, target))
         headers = {name.decode().lower(): value.decode() for name, value in request.headers}
+        self.serving_port = writer.get_extra_info("sockname")[1]
         fault = self.fault(method, target)
         if fault is None and "fence-token" in headers:
             fault = self.duty_fault(target, json.loads(body), int(headers["fence-token"]))
--- a/tools/daemon_processes.py
+++ b/tools/daemon_processes.py
@@ -24,7 +24,7 @@
 ready = "127.0.0.1:{readiness}"
 [bounds]
 graceS = 6
-[platform]
+{bounds}[platform]
 addr = "127.0.0.1:{store}"
 [cloudApi]
 addr = "127.0.0.1:{store}"
@@ -40,7 +40,15 @@
 class DaemonProcess:
     """A daemon in a separate process that is restarted whenever it exits."""
 
-    def __init__(self, name: str, domain: str, store_port: int, directory: pathlib.Path, more_settings: str = ""):
+    def __init__(
+        self,
+        name: str,
+        domain: str,
+        store_port: int,
+        directory: pathlib.Path,
+        more_settings: str = "",
+        bounds: str = "",
+    ):
         self.name = name
         self.port = session_bed.free_port()
         self.peer_port = session_bed.free_port()
@@ -55,6 +63,7 @@
                 callers=self.port,
                 readiness=self._readiness_port,
                 store=store_port,
+                bounds=bounds,
             )
             + more_settings
         )
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import datetime
 import time
 from collections.abc import Mapping, Sequence
 
@@ -15,6 +16,8 @@
 a fixed number of operations."""
 MAX_REVOCATION_DELAY_S = 5.0
 """Longest time for a revocation to take effect; a request sent later must not run."""
+MAX_LOSSES = 20
+"""Lost writes whose details are printed."""
 EVACUATION_BOUND_S = 5.0
 """Time after which no statement may run in an evacuated failure domain."""
 
@@ -41,6 +44,13 @@
         after_evacuation: Statements that ran in an evacuated failure domain after the bound; counted only in runs whose
             faults keep no daemon from the store.
         usage_conflicts: Windows of which two accepted reports of usage differ.
+        lost_in_promotions: Writes whose callers had success, and which the log of a promoted instance lacked.
+        lost_unseen: Commits that an instance acknowledged and a promoted log lacked, and whose callers did not learn of
+            it. They are no violation: an answer that is lost on its way leaves the outcome unknown.
+        losses: Details of the first writes that were lost in promotions.
+        promotions: Promotions that took effect.
+        recovery_s: Seconds from the end of the last fault to a write through each VM, or None.
+        unrecovered: VMs through which no write succeeded within the bound after the last fault.
         faults: Injected faults and details of stale reads.
     """
 
@@ -59,15 +69,20 @@
     after_revocation: int = 0
     after_evacuation: int = 0
     usage_conflicts: int = 0
+    lost_in_promotions: int = 0
+    lost_unseen: int = 0
+    unrecovered: int = 0
+    promotions: int = 0
+    recovery_s: list[float | None] = dataclasses.field(default_factory=list)
+    losses: list[str] = dataclasses.field(default_factory=list)
     refused_by_cause: dict[str, int] = dataclasses.field(default_factory=dict)
     faults: list[str] = dataclasses.field(default_factory=list)
 
     def is_consistent(self) -> bool:
         """Return whether no guarantee was violated."""
         violations = (self.lost, self.doubled, self.stale_reads, self.false_not_run, self.torn, self.mixed)
-        return not any(
-            (*violations, self.over_rate, self.after_revocation, self.after_evacuation, self.usage_conflicts)
-        )
+        violations += (self.over_rate, self.after_revocation, self.after_evacuation, self.usage_conflicts)
+        return not any((*violations, self.lost_in_promotions, self.unrecovered))
 
 
 @dataclasses.dataclass(slots=True)
@@ -140,6 +155,27 @@
     result.false_not_run = sum(request in committed for request in record.not_run)
 
 
+def check_promotions(record: Record, service: line_instance.Service, result: Result) -> None:
+    """Count the acknowledged commits that were missing from the log of a promoted instance.
+
+    Args:
+        record: What callers have seen.
+        service: The instances, with the commits that each promotion lost.
+        result: Receives the counts.
+    """
+    for lost in service.lost:
+        seen = [request for request, _, _ in lost.commit.writes if request in record.answers]
+        result.lost_in_promotions += len(seen)
+        result.lost_unseen += not seen
+        for request in seen[: MAX_LOSSES - len(result.losses)]:
+            answered_at, vm = record.answers[request]
+            result.losses.append(
+                f"{request} at {lost.commit.term}.{lost.commit.number}, answered by {vm} at "
+                f"{datetime.datetime.fromtimestamp(answered_at, datetime.UTC).isoformat(timespec='milliseconds')}, "
+                f"missing on {lost.promoted}"
+            )
+
+
 def count_conflicts(usage_calls: Sequence[tuple[float, int, Mapping[str, int], str, int, int]]) -> int:
     """Return the number of windows of which two accepted reports of usage differ.
 
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -25,6 +25,10 @@
 change must be in force within its bound."""
 REST_FAULTS: dict[str, FaultFunction] = {}
 """Faults beside sessions that rest inside transactions; most end daemons, which are back before the rest is over."""
+PROMOTION_FAULTS: dict[str, FaultFunction] = {}
+"""Faults around promotions, beside planned changes of the instances; ``soak_promotion_faults`` has most of them."""
+PROMOTION_CAUSES: dict[str, FaultFunction] = {}
+"""Those of ``PROMOTION_FAULTS`` that let a VM promote."""
 FAULTS: dict[str, FaultFunction] = {}
 """All faults by name."""
 
@@ -76,7 +80,7 @@
     await _apply_fault(soak, dropped, dropped)
 
 
-@register("reset", SINGLE_FAULTS, FLEET_FAULTS, REST_FAULTS)
+@register("reset", SINGLE_FAULTS, FLEET_FAULTS, REST_FAULTS, PROMOTION_FAULTS)
 async def reset(soak: "soak_run.Soak") -> None:
     """Reset the connections through one proxy."""
     soak.random.choice(list(soak.proxies.values())).reset()
@@ -114,13 +118,13 @@
     instance.unresponsive = False
 
 
-@register("lag", SINGLE_FAULTS, FLEET_FAULTS, STORE_FAULTS, REST_FAULTS)
+@register("lag", SINGLE_FAULTS, FLEET_FAULTS, STORE_FAULTS, REST_FAULTS, PROMOTION_FAULTS)
 async def lag(soak: "soak_run.Soak") -> None:
     """Set random replication lags."""
     soak.service.lag_s = {name: soak.random.uniform(0.1, 3.0) for name in soak.service.instances}
 
 
-@register("lose_answers", SINGLE_FAULTS, FLEET_FAULTS, STORE_FAULTS, REST_FAULTS)
+@register("lose_answers", SINGLE_FAULTS, FLEET_FAULTS, STORE_FAULTS, REST_FAULTS, PROMOTION_FAULTS)
 async def lose_answers(soak: "soak_run.Soak") -> None:
     """Drop the next responses of an instance."""
     soak.random.choice(list(soak.service.instances.values())).lose_answers = soak.random.randrange(1, 4)
@@ -248,7 +252,7 @@
     vm.change_settings(changed, valid)
 
 
-@register("swallow_answers", FLEET_FAULTS)
+@register("swallow_answers", FLEET_FAULTS, PROMOTION_FAULTS)
 async def swallow_answers(soak: "soak_run.Soak") -> None:
     """Make an instance run the next statements without answering them."""
     instance = soak.random.choice(list(soak.service.instances.values()))
--- a/tools/soak_run.py
+++ b/tools/soak_run.py
@@ -29,6 +29,9 @@
 class Soak:
     """One run of the soak test."""
 
+    _more_bounds = ""
+    """Lines added to the bounds in the daemons' settings files."""
+
     def __init__(
         self,
         seed: int,
@@ -86,7 +89,7 @@
             store_port = await self._add_proxy(f"store of {vm}", await self._open_store_port(vm))
             self.vms.append(
                 daemon_processes.DaemonProcess(
-                    vm, f"z{number % 3 + 1}", store_port, self._directory, self._more_settings
+                    vm, f"z{number % 3 + 1}", store_port, self._directory, self._more_settings, self._more_bounds
                 )
             )
             await self._add_proxy(f"peers of {vm}", self.vms[-1].peer_port)
@@ -196,12 +199,11 @@
         running: set[asyncio.Task[None]] = set()
         while time.monotonic() < self.sessions.end - 4.0:
             await asyncio.sleep(self.random.uniform(0.5, 2.0))
-            running.add(self._start_fault())
+            running.add(self.start_fault(self.random.choice(self._fault_names)))
         await asyncio.gather(*running)
 
-    def _start_fault(self) -> asyncio.Task[None]:
-        """Start a random fault, and return the task that ends when its effects are undone."""
-        name = self.random.choice(self._fault_names)
+    def start_fault(self, name: str) -> asyncio.Task[None]:
+        """Start a fault, and return the task that ends when its effects are undone."""
         self.result.faults.append(name)
         _console.print(f"fault: {name}")
         return asyncio.create_task(soak_faults.FAULTS[name](self))
--- a/tools/soak_sessions.py
+++ b/tools/soak_sessions.py
@@ -133,6 +133,17 @@
                     caller.close()
                 caller = None
 
+    async def write_once(self, vm: daemon_processes.DaemonProcess, request: str, item: str) -> bool:
+        """Write through a VM on a new connection; return whether the write was reported as completed."""
+        caller = await self._connect_to(vm, session_bed.KEY)
+        if caller is None:
+            return False
+        try:
+            self.result.sent += 1
+            return await self._write(caller, request, item, request, None) is not None
+        finally:
+            caller.close()
+
     async def _connect(self, rng: random.Random, key: str = session_bed.KEY) -> Caller | None:
         return await self._connect_to(rng.choice(self.vms), key)
 
--- a/tools/users_demo.py
+++ b/tools/users_demo.py
@@ -10,7 +10,9 @@
 cannot reach the store. With ``--store``, the faults are those of the store's state beside planned changes: it is
 restored from copies and drops its history unannounced, while failure domains are evacuated, the primary drains, the
 key is revoked, and daemons restart. With ``--rests``, some sessions rest inside transactions for longer than a daemon
-takes to restart, and most faults end daemons.
+takes to restart, and most faults end daemons. With ``--promotions``, instances join, drain, leave, crash, restart and
+are cut off, from each other or from some VMs, while promotion calls are carried out late, the store refuses some VMs,
+and VMs are killed, shut down and suspended; ``--vms`` sets the number of daemons.
 """
 
 import argparse
@@ -21,7 +23,7 @@
 import sys
 import tempfile
 
-from tools import daemon_processes, soak_faults, soak_run
+from tools import daemon_processes, soak_faults, soak_promotion_faults, soak_promotions, soak_run
 
 
 def main() -> int:
@@ -36,6 +38,10 @@
     )
     parser.add_argument("--load", action="store_true", help="switch on usage reports and all decisions under load")
     parser.add_argument("--rests", action="store_true", help="let some sessions rest inside transactions")
+    parser.add_argument(
+        "--promotions", action="store_true", help="inject faults around promotions beside changes of the instances"
+    )
+    parser.add_argument("--vms", type=int, default=soak_run.VMS, help="number of daemons with --promotions")
     options = parser.parse_args()
     faults = soak_faults.FLEET_FAULTS if options.fleet else soak_faults.SINGLE_FAULTS
     if options.rests:
@@ -46,7 +52,13 @@
         directory = options.keep or pathlib.Path(temporary)
         directory.mkdir(parents=True, exist_ok=True)
         more_settings = daemon_processes.LOAD_SETTINGS if options.load else ""
-        soak = soak_run.Soak(options.seed, options.seconds, directory, faults, more_settings, rests=options.rests)
+        if options.promotions:
+            faults = soak_promotion_faults.PROMOTION_FAULTS
+            soak = soak_promotions.PromotionSoak(
+                options.seed, options.seconds, directory, faults, more_settings, vms=options.vms
+            )
+        else:
+            soak = soak_run.Soak(options.seed, options.seconds, directory, faults, more_settings, rests=options.rests)
         result = asyncio.run(soak.run())
     print(json.dumps(dataclasses.asdict(result)))
     return 0 if result.is_consistent() else 1
