--- a/tools/soak_promotion_faults.py
+++ b/tools/soak_promotion_faults.py
@@ -128,6 +128,8 @@
 
 async def _cut_replication(soak: "soak_promotions.PromotionSoak", replicas: Collection[str], cut_s: float) -> None:
     primary = soak.service.primary
+    if not primary:
+        return
     links = {frozenset((primary, name)) for name in replicas} - soak.service.cut_links
     with soak.logged(f"{primary} is cut off from {sorted(replicas)} for {cut_s:.1f} s"):
         soak.service.cut_links |= links
