--- a/tools/soak_promotions.py
+++ b/tools/soak_promotions.py
@@ -96,7 +96,7 @@
         self._born: dict[str, int] = {}
         self._vm_at: dict[int, str] = {}
         self._step_waiters: list[tuple[Collection[str], asyncio.Future[str]]] = []
-        self._logged_losses = 0
+        self._postponed: list[asyncio.Task[None]] = []
 
     async def run(self) -> soak_checks.Result:
         """Start all components, run the load with faults, and check the results."""
@@ -215,7 +215,8 @@
     async def drain_and_leave(self, name: str) -> None:
         """Let an instance drain and then leave with its log.
 
-        It stays longer while it has the only copy of an acknowledged commit, because nothing could keep that one.
+        It stays longer while it has the only copy of an acknowledged commit, because nothing could keep that one. Such
+        a stay is no fault that has an end: a VM has to promote the instance.
         """
         self.changing.add(name)
         self.draining.add(name)
@@ -223,6 +224,11 @@
             self.register(name)
         self.log(f"{name} drains; {self.describe()}")
         await asyncio.sleep(DRAIN_S + self.random.uniform(0.2, 2.0))
+        if not await self._leave(name):
+            self._postponed.append(asyncio.create_task(self._leave_later(name)))
+
+    async def _leave_later(self, name: str) -> None:
+        self.log(f"{name} stays, it is down or has the only copy of a commit; {self.describe()}")
         while not await self._leave(name):  # noqa: ASYNC110
             await asyncio.sleep(0.1)
 
@@ -243,9 +249,8 @@
     async def restart_empty(self, name: str) -> None:
         """Start a replica again under its identity, with a new copy of the primary's log."""
         self.changing.add(name)
-        while self.service.primary == name or not self.can_copy() or not await self._leave(name):  # noqa: ASYNC110
-            await asyncio.sleep(0.1)
-        await self._join_as(name)
+        if self.service.primary != name and self.can_copy() and await self._leave(name):
+            await self._join_as(name)
         self.changing.discard(name)
 
     async def crash(self, name: str, down_s: float) -> None:
@@ -373,13 +378,20 @@
                     await asyncio.sleep(self._plan.uniform(0.0, 1.5))
                 await asyncio.sleep(self._plan.uniform(0.5, 4.0))
             await asyncio.gather(*running)
+            self._cancel_leaving()
             self.log(f"last fault ended; {self.describe()}")
             await self._check_recovery()
         finally:
             for task in running:
                 task.cancel()
+            self._cancel_leaving()
             self.sessions.end = time.monotonic()
 
+    def _cancel_leaving(self) -> None:
+        """Let the instances that still have the only copy of a commit stay until the end of the run."""
+        for task in self._postponed:
+            task.cancel()
+
     async def _check_recovery(self) -> None:
         began_at = time.monotonic()
         writes = await asyncio.gather(*(self._probe(vm.name, began_at + RECOVERY_BOUND_S) for vm in self.vms))
