--- a/tests/process/test_session_soak.py
+++ b/tests/process/test_session_soak.py
@@ -16,6 +16,8 @@
     "over_rate",
     "after_revocation",
     "after_evacuation",
+    "lost_in_promotions",
+    "unrecovered",
 )
 SEEDS = [
     (
@@ -41,6 +43,9 @@
     (633, "restore_store", "revisions of two eras were compared: a key revoked after a restoration worked on"),
 ]
 
+PROMOTION_SEED = 3
+"""Replicas leave beside a primary that is cut off from the others, primaries are dark, and promotion calls are late."""
+
 
 def _run_soak(seed, *options):
     """Run the soak test and return its result."""
@@ -89,3 +94,12 @@
     assert not {name: result[name] for name in VIOLATIONS if result[name]}, result
     assert "kill_repeatedly" in result["faults"]
     assert result["completed"] > 0
+
+
+@pytest.mark.processes
+@pytest.mark.xdist_group("processes-3")
+def test_promotions_keep_all_acknowledged_commits():
+    """Guards against promotions that lose commits while replicas leave and promotion calls are carried out late."""
+    result = _run_soak(PROMOTION_SEED, "--seconds", "6", "--promotions")
+    assert not {name: result[name] for name in VIOLATIONS if result[name]}, result
+    assert result["promotions"] > 0
