--- a/tests/standins/loopback_proxy.py
+++ b/tests/standins/loopback_proxy.py
@@ -42,6 +42,11 @@
         self._server = await asyncio.start_server(self._serve_connection, "127.0.0.1", port)
         self.port = self._server.sockets[0].getsockname()[1]
 
+    @property
+    def connections(self) -> int:
+        """Number of open connections of clients."""
+        return (len(self._writers) + 1) // 2
+
     def stop(self) -> None:
         """Close the listener and all connections."""
         if self._server is not None:
--- a/tools/soak_promotions.py
+++ b/tools/soak_promotions.py
@@ -398,6 +398,10 @@
         self.result.recovery_s = [round(at - began_at, 2) if at is not None else None for at in writes]
         self.result.unrecovered = sum(at is None for at in writes)
         self.log(f"seconds to the first write through each VM: {self.result.recovery_s}; {self.describe()}")
+        for name, instance in self.service.instances.items():
+            counts = {vm.name: self.proxies_of(name, [vm.name])[0].connections for vm in self.vms}
+            organisations = sorted(connection.organisation for connection in instance.connections)
+            self.log(f"connections to {name}: {counts} through proxies, {organisations} there")
 
     async def _probe(self, vm: str, deadline: float) -> float | None:
         """Write through a VM until one write succeeds; return when, or None if none does before the deadline."""
