--- a/tests/standins/object_store.py
+++ b/tests/standins/object_store.py
@@ -132,6 +132,11 @@
         self._views[port] = {old.encode(): new.encode() for old, new in replaced.items()}
         return port
 
+    @property
+    def late_calls(self) -> int:
+        """Number of calls that wait with the fault ``Late``."""
+        return len(self._late_calls)
+
     def carry_out_late_calls(self) -> int:
         """Carry out the calls that wait with the fault ``Late``, in order, and return how many there were."""
         waiting, self._late_calls = self._late_calls, {}
--- a/tools/soak_promotions.py
+++ b/tools/soak_promotions.py
@@ -17,7 +17,7 @@
 
 from tests import session_bed
 from tests.standins import line_instance, loopback_proxy, object_store
-from tools import soak_checks, soak_faults, soak_run
+from tools import soak_checks, soak_faults, soak_run, soak_service
 
 MAX_INSTANCES = 8
 ADDRESSES = MAX_INSTANCES + 4
@@ -39,24 +39,6 @@
 """Takes the VM that calls for a promotion, and returns the fault to inject or None."""
 
 
-class Service(line_instance.Service):
-    """Instances of a service, with a call before each promotion takes effect.
-
-    Attributes:
-        before_promotion: Called with the identity of the instance that is about to be promoted.
-    """
-
-    def __init__(self, name: str, ids: list[str], *, max_connections: int):
-        super().__init__(name, ids, max_connections=max_connections)
-        self.before_promotion: Callable[[str], None] = lambda instance_id: None
-
-    def promote(self, instance_id: str) -> bool:
-        """Make an instance the primary of the next term at once; return False if it cannot be promoted."""
-        self.replicate()
-        self.before_promotion(instance_id)
-        return super().promote(instance_id)
-
-
 class PromotionSoak(soak_run.Soak):
     """One run with faults around promotions.
 
@@ -68,7 +50,7 @@
         dark: Identities of the instances that reach nothing and cannot be reached.
     """
 
-    service: Service
+    service: soak_service.Service
     _more_bounds = f"drainMs = {DRAIN_S * 1000:.0f}\n"
 
     def __init__(
@@ -127,7 +109,7 @@
     # Parts of the run.
 
     def _create_service(self, max_connections: int) -> line_instance.Service:
-        service = Service(session_bed.SERVICE, ["i-1", "i-2", "i-3"], max_connections=max_connections)
+        service = soak_service.Service(session_bed.SERVICE, ["i-1", "i-2", "i-3"], max_connections=max_connections)
         service.on_role_change = self._report_roles
         service.on_command = self._handle_command
         service.before_promotion = self._log_promotion
@@ -234,7 +216,7 @@
 
     async def _leave(self, name: str) -> bool:
         instance = self.service.instances[name]
-        if not instance.is_running or instance.unresponsive or self.holds_only_copy(name):
+        if not instance.is_running or instance.unresponsive or self.service.holds_only_copy(name):
             return False
         self.log(f"{name} leaves; {self.describe()}")
         address = self._addresses.pop(name)
@@ -281,12 +263,6 @@
                 self.store.delete("servers", name)
             await asyncio.sleep(silent_s - LAPSE_S)
 
-    def holds_only_copy(self, name: str) -> bool:
-        """Return whether no other instance has one of the acknowledged commits that this one has."""
-        own = self.service.instances[name].log
-        others = [item.log for item in self.service.instances.values() if item.id != name]
-        return any(commit in own and not any(commit in log for log in others) for commit in self.service.acknowledged)
-
     def is_undisturbed(self, name: str) -> bool:
         """Return whether an instance runs, can be reached, and does not drain."""
         instance = self.service.instances.get(name)
@@ -298,18 +274,7 @@
 
     def describe(self) -> str:
         """Return the state of all instances, for the log."""
-        parts = []
-        for name, instance in self.service.instances.items():
-            states = [
-                "primary" if instance.is_primary else "",
-                "" if instance.is_running else "down",
-                "dark" if instance.unresponsive else "",
-                "draining" if name in self.draining else "",
-                f"paused for {instance.paused_term}" if instance.paused_term else "",
-            ]
-            text = " ".join([instance.position(len(instance.log)), *filter(None, states)])
-            parts.append(f"{name}: {text}")
-        return f"term {self.service.term}, {', '.join(parts)}"
+        return self.service.describe(self.draining)
 
     # Steps of the promotions.
 
