Resume replicas when an attempt ends because an earlier order took effect

An attempt that found an order open paused the replicas for a later term, and ended when a late call made the ordered instance lead. It left the replicas paused, as the order was still open in the store; a promotion ends only pauses for earlier terms, so they received nothing of the new primary. It now resumes them if an instance leads.

The page of the duties' watch no longer claims that replicas are always paused.

--- a/src/currantlead/sessions/failover/promotion.py
+++ b/src/currantlead/sessions/failover/promotion.py
@@ -86,6 +86,7 @@
         self._full: set[str] = set()
         self._silent_vms: frozenset[str] = frozenset()
         self._keeps_pauses = False
+        self._is_overtaken = False
 
     async def run(self, reason: str) -> str:
         """Run the attempt; return why it stopped, or an empty string if the service has a new primary.
@@ -264,6 +265,7 @@
         statuses = await self._read_statuses()
         if any(status.role is model.Role.PRIMARY or status.term >= self._term for status in statuses.values()):
             # A call of an earlier order has been carried out since the first look.
+            self._is_overtaken = any(status.role is model.Role.PRIMARY for status in statuses.values())
             return "another promotion has taken effect"
         paused = [
             promotion_choice.PausedReplica(name, status.received, self._is_promotable(name))
@@ -403,14 +405,17 @@
         return False
 
     async def _resume(self) -> None:
-        """Resume replication, unless an order may take effect or another VM may rely on the pauses."""
+        """Resume replication, unless an order may take effect or another VM may rely on the pauses.
+
+        The pauses are for a later term than that of an order that has taken effect meanwhile, which does not end them.
+        """
         if self._keeps_pauses or not self._generation:
             return
         self._tools.reports.release(self._service, self._generation)
         try:
             if (
                 not self._paused
-                or self._open_order()
+                or (self._open_order() and not self._is_overtaken)
                 or not await self._tools.claims.is_current(self._service, self._generation)
             ):
                 return
--- a/src/currantlead/sessions/shared/shared_state.py
+++ b/src/currantlead/sessions/shared/shared_state.py
@@ -17,8 +17,8 @@
 be in force. A watch may miss a change and stay silent to its end, so its duration limits the age of the copy; the rest
 of the time is for relays, for the promotion of another primary, and for statements that wait."""
 DUTIES_WAIT_S = 20.0
-"""Duration of the watch of the duties. A claim reads the duty's entry from the store, and a VM that learns late of an
-order only sends commits to a primary whose replicas are paused, so no rule depends on the age of the copy."""
+"""Duration of the watch of the duties. A claim reads the duty's entry from the store. VMs are also asked to hold back
+commits before an order is recorded, so that they need not learn of it from the copy in time."""
 
 _log = logs.part("daemon")
 
