--- a/review/common_2/bed.py
+++ b/review/common_2/bed.py
@@ -23,6 +23,8 @@
 
 ROOT = pathlib.Path.cwd()
 HEARTBEAT_S = 1.2
+BORN_MS = 1_790_000_000_000
+"""Unix time of the first start of the instances, in milliseconds."""
 MESSAGE_BYTES = 1024 * 1024
 """Maximum size of a message of the line protocol."""
 SETTINGS = """
@@ -369,6 +371,10 @@
         configuration: The desired state.
         folder: Folder for settings and logs.
         service_options: Options of the stand-in for the service.
+
+    Attributes:
+        silent: Instances that do not reach the store, so that their entries stay as they are.
+        born: Unix time of the start of the instances that have started again, in milliseconds.
     """
 
     def __init__(
@@ -390,6 +396,8 @@
         self.service.on_role_change = self.report
         self.store.promote = lambda service, instance: self.service.request_promotion(instance)
         self.links: dict[tuple[str, str], Link] = {}
+        self.silent: set[str] = set()
+        self.born: dict[str, int] = {}
         self._places = places
         self._sequence = 0
         self._heartbeats: asyncio.Task[None] | None = None
@@ -434,7 +442,7 @@
         """Write the entries of the instances, as they do themselves."""
         self._sequence += 1
         for name, instance in self.service.instances.items():
-            if not instance.is_running:
+            if not instance.can_be_promoted or name in self.silent:
                 continue
             entry = {
                 "service": self.service.name,
@@ -446,7 +454,7 @@
                 "coldLeftMs": 0,
                 "dbRole": "primary" if instance.is_primary else "replica",
                 "sequence": self._sequence,
-                "born": 1_790_000_000_000,
+                "born": self.born.get(name, BORN_MS),
             }
             self.store.put("servers", name, entry)
 
