--- a/review/common_2/bed.py
+++ b/review/common_2/bed.py
@@ -373,6 +373,8 @@
         service_options: Options of the stand-in for the service.
 
     Attributes:
+        places: Zone of each instance.
+        states: State of the instances that are not ready, as they report it.
         silent: Instances that do not reach the store, so that their entries stay as they are.
         born: Unix time of the start of the instances that have started again, in milliseconds.
     """
@@ -398,7 +400,8 @@
         self.links: dict[tuple[str, str], Link] = {}
         self.silent: set[str] = set()
         self.born: dict[str, int] = {}
-        self._places = places
+        self.places = dict(places)
+        self.states: dict[str, str] = {}
         self._sequence = 0
         self._heartbeats: asyncio.Task[None] | None = None
         self._delays: dict[tuple[str, str], float] = {}
@@ -447,10 +450,10 @@
             entry = {
                 "service": self.service.name,
                 "addr": f"127.0.0.1:{instance.port}",
-                "zone": self._places[name],
+                "zone": self.places[name],
                 "version": "v1",
                 "slots": 4,
-                "state": "ready",
+                "state": self.states.get(name, "ready"),
                 "coldLeftMs": 0,
                 "dbRole": "primary" if instance.is_primary else "replica",
                 "sequence": self._sequence,
