--- a/review/8/run.py
+++ b/review/8/run.py
@@ -21,9 +21,9 @@
 BUSY_ENTRY, QUIET_ENTRY = "front-bilbao-1", "front-oviedo-1"
 QUIET_S = 21.0
 """Time after the start after which the program takes its knowledge of instances that left for complete."""
-SILENCE_S, AFTER_REMOVAL_S, DEAF_S = 3.6, 0.5, 6.0
-"""Three ping intervals, after which the platform removes an entry; time from then to the last commit; and the time for
-which two replicas receive nothing."""
+CUT_S, SILENCE_S, AFTER_REMOVAL_S, DEAF_S = 5.0, 3.6, 0.5, 6.0
+"""Time for which the draining replica is cut off from the store; three ping intervals, after which the platform removes
+an entry; time from then to the last commit; and the time for which two replicas receive nothing."""
 CONFIGURATION = {
     "version": 3,
     "routes": [
@@ -76,6 +76,7 @@
         if TROUBLE:
             await asyncio.sleep(0.5)
             deployment.silent.add(LEAVING)
+            asyncio.get_running_loop().call_later(CUT_S, reach_store, deployment, record)
             await asyncio.sleep(SILENCE_S)
             deployment.store.delete("servers", LEAVING)
             record.write("script", f"{LEAVING} is cut off from the store, which has removed its entry; it still runs")
@@ -95,6 +96,13 @@
     return judge(deployment, record)
 
 
+def reach_store(deployment: bed.Bed, record: bed.Record) -> None:
+    """End the cut of the draining replica, which then writes its entry again."""
+    deployment.silent.discard(LEAVING)
+    deployment.report()
+    record.write("script", f"{LEAVING} reaches the store again")
+
+
 def judge(deployment: bed.Bed, record: bed.Record) -> int:
     """Look for acknowledged commits that the promoted instance lacked."""
     for service, instance, holder, fence in deployment.store.promotions:
