Send no statement of a transaction after its end

Cause: the connection of a transaction had no owner. When the VM of the caller lost the answer to a statement, it told the holder to end the transaction, and the holder sent ROLLBACK beside the SET or PREPARE of the statement that was under way. The statement followed outside the transaction.

Change: a transaction that ends while a statement runs closes the connection; the connection is released once, by whichever ends last, also if the rollback raises. A statement of a transaction goes out only if the last answer said that it is open, and a connection refuses a second exchange beside one that is under way.

--- a/src/currantlead/sessions/instances/link.py
+++ b/src/currantlead/sessions/instances/link.py
@@ -112,6 +112,7 @@
         super().__init__(instance, organisation)
         self._reader = reader
         self._writer = writer
+        self._exchanging = False
 
     @classmethod
     async def connect(cls, instance: model.Instance, organisation: str) -> "Link":
@@ -188,7 +189,12 @@
         if self._reader.at_eof() or self._writer.is_closing():
             self.abort()
             raise errors.LinkLostError(f"{self.instance.id} closed the connection", sent=False)
+        if self._exchanging:
+            # Two users would read each other's replies.
+            self.abort()
+            raise errors.LinkLostError(f"{self.instance.id}: the connection is in use", sent=False)
         asked_at = clock.now()
+        self._exchanging = True
         self._writer.write(messages)
         try:
             async with asyncio.timeout(timeout_s):
@@ -204,6 +210,8 @@
         except asyncio.CancelledError:
             self.abort()
             raise
+        finally:
+            self._exchanging = False
 
     async def _read_message(self) -> statements.InstanceMessage:
         line = await self._reader.readuntil(lines.LINE_END)
--- a/src/currantlead/sessions/instances/orders.py
+++ b/src/currantlead/sessions/instances/orders.py
@@ -93,8 +93,12 @@
             may have run.
     """
     deadline = clock.now() + order.timeout_s
+    in_transaction = connection.state is not statements.TransactionState.IDLE
     try:
         text = await _prepare_connection(order, connection, deadline)
+        if in_transaction and connection.state is not statements.TransactionState.OPEN:
+            connection.abort()
+            raise errors.LinkLostError(f"{connection.instance.id}: the transaction is no longer open", sent=False)
         begin_reply = await _open_transaction(order, connection, deadline)
     except errors.LinkLostError as error:
         raise errors.LinkLostError(str(error), sent=False, timed_out=error.timed_out) from error
--- a/src/currantlead/sessions/instances/paths.py
+++ b/src/currantlead/sessions/instances/paths.py
@@ -223,28 +223,63 @@
 
 
 class DirectTransaction(Transaction):
-    """Open transaction on a connection of this VM."""
+    """Open transaction on a connection of this VM.
+
+    The connection has one user at a time: a statement or the rollback. It is released once, by whichever ends last.
+    """
 
     def __init__(self, connection: link.Link, path: "DirectPath"):
         self.instance = connection.instance
         self.link = connection
         self.path = path
+        self._running = False
+        self._ended = False
 
     async def run(self, order: orders.Order) -> orders.Report:
         """Run a statement; see ``Transaction.run``."""
-        refusal = await self.path.check_commit(order)
-        if refusal is not None:
-            raise errors.LinkLostError(refusal.detail, sent=False)
-        return await self.path.perform(order, self.link)
+        if self._ended or self._running:
+            reason = "has ended" if self._ended else "runs another statement"
+            raise errors.LinkLostError(f"the transaction {reason}", sent=False)
+        self._running = True
+        try:
+            refusal = await self.path.check_commit(order)
+            if refusal is not None or self._ended:
+                raise errors.LinkLostError(refusal.detail if refusal else "the transaction has ended", sent=False)
+            return await self.path.perform(order, self.link)
+        except errors.LinkLostError:
+            raise
+        except BaseException:
+            # What the instance answers next may belong to this statement.
+            self.link.abort()
+            raise
+        finally:
+            self._running = False
+            if self._ended:
+                self.path.release(self.link)
 
     async def end(self) -> None:
-        """Roll back the transaction if it is still open, and release its connection."""
-        if self.link.open and self.link.state is not statements.TransactionState.IDLE:
-            try:
+        """Roll back the transaction if it is still open, and release its connection.
+
+        While a statement runs, the connection is closed instead, and released when the statement has ended: a statement
+        that is still being prepared must not run after a rollback.
+        """
+        if self._ended:
+            return
+        self._ended = True
+        if self._running:
+            _log.bind(instance=self.instance.id).info("transaction ended while a statement runs, connection closed")
+            self.link.abort()
+            return
+        try:
+            if self.link.open and self.link.state is not statements.TransactionState.IDLE:
                 await self.link.exchange(_codec.encode_rollback(), timeout_s=ROLLBACK_TIMEOUT_S)
-            except errors.LinkLostError as error:
-                _log.bind(instance=self.instance.id).info("rollback failed, connection closed: {}", error)
-        self.path.release(self.link)
+        except errors.LinkLostError as error:
+            _log.bind(instance=self.instance.id).info("rollback failed, connection closed: {}", error)
+        except BaseException:
+            self.link.abort()
+            raise
+        finally:
+            self.path.release(self.link)
 
 
 class DirectPath(Path):
@@ -341,7 +376,11 @@
         if clock.now() > deadline:
             self.release(connection)
             raise errors.PoolUnavailableError(f"a connection to {self.instance.id} became available too late")
-        refusal = await self.check_commit(order) or check()
+        try:
+            refusal = await self.check_commit(order) or check()
+        except BaseException:
+            self.release(connection)
+            raise
         if refusal is not None:
             self.release(connection)
             raise errors.OrderRefusedError(refusal)
--- a/tests/standins/line_connection.py
+++ b/tests/standins/line_connection.py
@@ -78,6 +78,8 @@
                 continue
             self.unanswered = None
             messages = self.execute(request, text)
+            if self.service.delays_s:
+                await asyncio.sleep(self.service.delays_s.get(text.partition(" ")[0], 0.0))
             if self.unanswered is not None and not await self.wait_replicated(self.unanswered):
                 return
             if request != "-" and self.instance.lose_answers:
--- a/tests/standins/line_instance.py
+++ b/tests/standins/line_instance.py
@@ -27,6 +27,7 @@
         runs: Statements that the instances ran, in order.
         acknowledged: Commits whose answer was sent on a connection that was still open, and that are not lost.
         lost: Acknowledged commits that were missing from the promoted log when a promotion took effect.
+        delays_s: Delay of the answers to statements by their first word, in seconds.
         on_role_change: Called when an instance has become the primary or a replica.
         on_command: Called with an instance, the command and its term before it carries out PAUSE, DEMOTE or RESUME.
     """
@@ -45,6 +46,7 @@
         self.lag_s: dict[str, float] = {}
         self.cut_off_after: int | None = None
         self.cut_links: set[frozenset[str]] = set()
+        self.delays_s: dict[str, float] = {}
         self.on_role_change: Callable[[], None] = lambda: None
         self.on_command: Callable[[Instance, str, int], None] = lambda instance, command, term: None
 
--- a/tests/test_holders.py
+++ b/tests/test_holders.py
@@ -143,6 +143,77 @@
     assert bed.service.log == []
 
 
+async def start_slow_statement(bed, holder, caller, slow_word):
+    """Open a transaction and begin a statement whose step with a word is answered late; return its task."""
+    await caller.query("SET lang el")
+    await caller.query("BEGIN")
+    assert (await caller.query("WRITE a1 x"))[0].startswith("DONE i-1")
+    await caller.query("SET unit kg")
+    await caller.query("PREPARE s1 WRITE shapeA")
+    bed.service.delays_s = {slow_word: 0.3}
+    statement = asyncio.create_task(caller.query("EXEC s1 a2 y"))
+    await session_bed.wait_until(lambda: next(iter(holder.holder._transactions.values())).busy)
+    await asyncio.sleep(0.05)
+    return statement
+
+
+def connections_in_use(holder):
+    """Return the number of connections to the primary that are in use, and of those that transactions use."""
+    used = holder.connections.direct_path(holder.fleet.get("i-1").instance).pool
+    return used.busy, used.in_transaction
+
+
+@pytest.mark.parametrize("slow_word", ["SET", "PREPARE", "EXEC"])
+@pytest.mark.parametrize("ended_by", ["frame", "abandoned"])
+async def test_statement_of_an_ended_transaction_is_not_kept(pair, slow_word, ended_by):
+    """Guards against REFUSED: a statement ran after the rollback of its transaction, and was committed by itself."""
+    bed, holder, borrower = pair
+    caller = await bed.caller(at=borrower)
+    statement = await start_slow_statement(bed, holder, caller, slow_word)
+    ((number, entry),) = holder.holder._transactions.items()
+    if ended_by == "frame":
+        await holder.holder.end(borrower.settings.vm, {"transaction": number})
+    else:
+        await entry.transaction.end()
+    assert (await statement)[0].startswith("ERR ABORTED")
+    await asyncio.sleep(0.4)
+    assert bed.service.log == []
+    assert connections_in_use(holder) == (0, 0)
+    bed.service.delays_s = {}
+    await caller.query("ROLLBACK")
+    assert (await caller.query("WRITE a3 z"))[0].startswith("DONE i-1")
+
+
+@pytest.mark.parametrize("slow_word", ["SET", "PREPARE", "EXEC"])
+async def test_reset_between_vms_keeps_no_statement_and_no_connection(pair, slow_word):
+    """Guards against REFUSED and lost connections: the holder went on after the caller's VM had lost its stream."""
+    bed, holder, borrower = pair
+    caller = await bed.caller(at=borrower)
+    statement = await start_slow_statement(bed, holder, caller, slow_word)
+    borrower.network.disconnect(holder.settings.vm, "reset by a test")
+    assert (await statement)[0].startswith("ERR ABORTED")
+    await asyncio.sleep(0.4)
+    assert bed.service.log == []
+    assert connections_in_use(holder) == (0, 0)
+    assert holder.holder.active == 0
+
+
+async def test_commit_of_an_ended_transaction_is_in_doubt(pair):
+    """A transaction that ends while its COMMIT runs gives its connection back once, and is not rolled back there."""
+    bed, holder, borrower = pair
+    caller = await bed.caller(at=borrower)
+    await caller.query("BEGIN")
+    await caller.query("WRITE a1 x")
+    bed.service.delays_s = {"COMMIT": 0.3}
+    commit = asyncio.create_task(caller.query("COMMIT"))
+    await session_bed.wait_until(lambda: next(iter(holder.holder._transactions.values())).busy)
+    await asyncio.sleep(0.05)
+    borrower.network.disconnect(holder.settings.vm, "reset by a test")
+    assert (await commit)[0].startswith("ERR INDOUBT")
+    await asyncio.sleep(0.4)
+    assert connections_in_use(holder) == (0, 0)
+
+
 @pytest.mark.parametrize(
     ("statement", "answer"),
     [
