Ask again after a loss of contact, and read replies that a stall delayed

A VM that had lost contact and then had no commits refused the first one afterwards without asking, which aborted a transaction at its COMMIT although there was contact. And a VM that was stalled for the time of a question took the replies that had arrived meanwhile for lost and broke off its commits.

Contact counts as lost for 0.5 s after a question without an answer.

--- a/src/currantlead/sessions/decisions/vm_contact.py
+++ b/src/currantlead/sessions/decisions/vm_contact.py
@@ -18,6 +18,8 @@
 ROUND_S = 0.25
 """Time limit of one round of questions; together with ``REFRESH_AGE_S`` it exceeds ``AGE_LIMIT_S``, so that contact is
 lost with the first round without an answer."""
+LOST_S = 0.5
+"""Time after a round without an answer in which commits are refused at once. Each of them begins another round."""
 SILENCE_S = 0.5
 """Time after which a VM that got no answer since has broken off all its commits: ``REFRESH_AGE_S``, ``ROUND_S`` and a
 delay of its event loop."""
@@ -80,25 +82,30 @@
 
     Attributes:
         asked_at: Clock reading at which the latest question that was answered was sent, in seconds.
-        is_lost: Whether a question since then got no answer.
+        lost_at: Clock reading at which a question since then remained without an answer, or negative infinity.
         ordered: The only instance that may get commits by the latest answer, empty if none may, None if any may.
         generation: Highest generation number of a claim in an answer.
     """
 
     asked_at: float = float("-inf")
-    is_lost: bool = False
+    lost_at: float = float("-inf")
     ordered: str | None = None
     generation: int = 0
 
     def record_answer(self, service: str, asked_at: float, answer: Answer) -> None:
         """Record the answer to a question that was sent at a clock reading."""
-        self.asked_at, self.is_lost, self.ordered = asked_at, False, answer.ordered.get(service)
+        self.asked_at, self.lost_at = asked_at, float("-inf")
+        self.ordered = answer.ordered.get(service)
         self.generation = max(self.generation, answer.generation)
 
     def covers(self, at: float) -> bool:
         """Return whether the contact is recent enough for a commit at a clock reading."""
         return self.asked_at >= at - AGE_LIMIT_S
 
+    def is_lost(self, now: float) -> bool:
+        """Return whether commits are refused without another question, because one has just had no answer."""
+        return now - self.lost_at < LOST_S
+
     def refresh_in_s(self, now: float) -> float:
         """Return the seconds until contact should be refreshed while there are commits; 0 if it should be now."""
         return max(0.0, self.asked_at + REFRESH_AGE_S - now)
--- a/src/currantlead/sessions/failover/commit_contact.py
+++ b/src/currantlead/sessions/failover/commit_contact.py
@@ -20,6 +20,8 @@
 """Time after which the other VMs and the store are asked too; a round trip between regions takes up to 0.1 s."""
 ADMISSION_TIMEOUT_S = 0.4
 """Time for which a commit waits for contact."""
+READ_S = 0.02
+"""Time after the end of a time limit in which replies that have arrived are read."""
 RETRY_DELAY_S = 0.05
 """Pause after a round without an answer."""
 
@@ -91,7 +93,7 @@
         contact = self._contact_of(instance.service)
         while not contact.covers(clock.now()):
             running = self._join_round()
-            if contact.is_lost or clock.now() >= now + ADMISSION_TIMEOUT_S:
+            if contact.is_lost(clock.now()) or clock.now() >= now + ADMISSION_TIMEOUT_S:
                 return f"no contact with the VMs that may replace {instance.id}"
             await asyncio.wait({running}, timeout=now + ADMISSION_TIMEOUT_S - clock.now())
         return "" if contact.allows(instance.id) else f"{instance.id} is being replaced as the primary"
@@ -137,15 +139,14 @@
 
     async def _keep_contact(self) -> None:
         """Refresh contact while commits wait."""
-        while True:
-            services = [service for service, count in self._waiting.items() if count]
-            if not services:
-                return
+        while self._partners() and any(self._waiting.values()):
             now = clock.now()
-            await asyncio.sleep(min(self._contact_of(service).refresh_in_s(now) for service in services))
-            if not any(self._waiting.values()):
-                return
-            await self._join_round()
+            services = [service for service, count in self._waiting.items() if count]
+            due_in_s = min(self._contact_of(service).refresh_in_s(now) for service in services)
+            if due_in_s:
+                await asyncio.sleep(due_in_s)
+            else:
+                await self._join_round()
 
     def _join_round(self) -> "asyncio.Task[None]":
         """Return the current round of questions, or begin one."""
@@ -156,7 +157,7 @@
     async def _run_round(self) -> None:
         """Ask one VM, and the others and the store if it does not answer at once; record the first reply."""
         asked_at = clock.now()
-        first, *others = sorted(self._partners(), key=lambda vm: vm != self._last_answered_by) or [""]
+        first, *others = sorted(self._partners(), key=lambda vm: vm != self._last_answered_by)
         questions = {self._ask(self._ask_vm(first))}
         try:
             reply, questions = await _first_reply(questions, asked_at + HEDGE_S)
@@ -175,11 +176,11 @@
             return
         self._count_round("silent")
         for service, contact in self._contacts.items():
-            if not contact.is_lost:
+            if not contact.is_lost(asked_at):
                 _log.bind(service=service, asked_s=round(clock.now() - asked_at, 3)).warning(
                     "no VM that may replace the primary answers, breaking off commits"
                 )
-            contact.is_lost = True
+            contact.lost_at = clock.now()
             self.on_lost(service)
         await asyncio.sleep(RETRY_DELAY_S)
 
@@ -221,10 +222,12 @@
     questions: "set[asyncio.Task[_Reply | None]]", deadline: float
 ) -> "tuple[_Reply | None, set[asyncio.Task[_Reply | None]]]":
     """Return the first reply, or None if there is none in time, and the questions that are still open."""
-    while questions and clock.now() < deadline:
-        done, questions = await asyncio.wait(
-            questions, timeout=deadline - clock.now(), return_when=asyncio.FIRST_COMPLETED
-        )
+    is_late = False
+    while questions and not is_late:
+        # A VM that was stalled reads the replies that have arrived meanwhile before it takes them for lost.
+        is_late = clock.now() >= deadline
+        timeout_s = READ_S if is_late else deadline - clock.now()
+        done, questions = await asyncio.wait(questions, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED)
         replies = [reply for reply in (question.result() for question in done) if reply is not None]
         if replies:
             # An instance that one VM forbids gets no commits, whatever the others know.
--- /dev/null
+++ b/tests/test_commit_contact.py
@@ -0,0 +1,197 @@
+"""Contact with VMs that may replace a primary: whether commits are sent, broken off, and reported as successful."""
+
+import asyncio
+
+import pytest
+
+from currantlead import errors
+from currantlead.sessions import clock, model, settings
+from currantlead.sessions.decisions import vm_contact
+from currantlead.sessions.failover import commit_contact
+from currantlead.sessions.instances import fleet
+from currantlead.sessions.shared import duty_claims
+
+SERVICE = "svc1"
+PRIMARY = model.Instance("i-1", SERVICE, "127.0.0.1", 1, "z1", False, model.Role.PRIMARY, 1)
+REGIONS = {"z1": "r1", "z2": "r1", "z3": "r2", "z4": "r3"}
+
+
+def member(name, domain):
+    """Return a VM."""
+    return model.Member(name, "127.0.0.1", 1, domain)
+
+
+class Peers:
+    """Streams whose VMs answer as the test says; a VM without an answer is silent."""
+
+    def __init__(self):
+        self.answers = {}
+        self.asked = []
+
+    def handler(self, kind):
+        """Accept a handler."""
+        return lambda handler: handler
+
+    async def request(self, vm, kind, body, *, timeout_s):
+        """Return the answer of a VM."""
+        self.asked.append(vm)
+        if vm not in self.answers:
+            await asyncio.sleep(timeout_s)
+            raise errors.PeerAnswerLostError(vm)
+        return self.answers[vm]
+
+
+class Claims:
+    """Claims of the duty in a store that may be unreachable."""
+
+    def __init__(self):
+        self.reachable, self.claimed_by_other = False, False
+
+    async def refresh(self, duty):
+        """Read the duty."""
+        if not self.reachable:
+            raise errors.PlatformUnavailableError("silent")
+
+    def may_claim(self, duty, exclusivity_s):
+        """Return whether no other VM has claimed the duty."""
+        return not self.claimed_by_other
+
+
+class Case:
+    """Contact of a VM with two partners."""
+
+    def __init__(self):
+        self.peers, self.claims, self.lost = Peers(), Claims(), []
+        self.fleet = fleet.Fleet(settings.Bounds(), REGIONS)
+        self.fleet.update(PRIMARY, 0.0)
+        self.partners = ["vm-2", "vm-3"]
+        self.contact = commit_contact.CommitContact(self.peers, self.fleet, self.claims, lambda: self.partners)
+        self.contact.on_lost = self.lost.append
+
+    def answer(self, vm="vm-2", generation=0, **ordered):
+        """Let a VM answer."""
+        self.peers.answers[vm] = {"ordered": ordered, "generation": generation}
+
+
+@pytest.fixture
+async def case():
+    """Provide the contact of a VM whose partners are silent."""
+    built = Case()
+    yield built
+    built.contact.close()
+
+
+def test_partners_are_in_other_regions():
+    """A region may be cut off as a whole, so that VMs of the same region prove nothing."""
+    members = [member("vm-1", "z1"), member("vm-2", "z2"), member("vm-3", "z3"), member("vm-4", "z4")]
+    assert {item.name for item in vm_contact.select_partners(members[0], members, REGIONS)} == {"vm-3", "vm-4"}
+    assert [item.name for item in vm_contact.select_partners(members[0], members[:2], REGIONS)] == ["vm-2"]
+    assert vm_contact.select_partners(members[0], members[:1], REGIONS) == []
+
+
+def test_partners_of_all_vms_are_among_the_chosen_ones():
+    """The VM that promotes tells all VMs that others ask, also where it does not tell all VMs."""
+    members = [member(f"vm-{number}", f"z{number % 4 + 1}") for number in range(40)]
+    chosen = {item.name for item in vm_contact.choose_partners(members, REGIONS)}
+    assert len(chosen) == 3 * vm_contact.PARTNERS_PER_GROUP
+    for own in members:
+        assert {item.name for item in vm_contact.select_partners(own, members, REGIONS)} <= chosen
+
+
+async def test_commit_is_refused_without_contact(case):
+    """A commit is not sent while nobody answers, and the next one is refused at once."""
+    assert "no contact" in await case.contact.find_refusal(PRIMARY)
+    began_at = clock.now()
+    assert "no contact" in await case.contact.find_refusal(PRIMARY)
+    assert clock.now() - began_at < 0.05
+    case.answer()
+    await asyncio.sleep(vm_contact.LOST_S)
+    assert await case.contact.find_refusal(PRIMARY) == ""
+
+
+async def test_no_contact_is_needed_without_other_vms(case):
+    """A VM that is alone serves commits."""
+    case.partners = []
+    assert await case.contact.find_refusal(PRIMARY) == ""
+    with case.contact.watch(PRIMARY) as commit:
+        pass
+    assert await case.contact.confirm(commit)
+    assert case.peers.asked == []
+
+
+async def test_other_vms_are_asked_if_the_first_is_silent(case):
+    """One VM that is down holds commits up for a moment only, and is not asked first the next time."""
+    case.answer("vm-3")
+    assert await case.contact.find_refusal(PRIMARY) == ""
+    await asyncio.sleep(vm_contact.AGE_LIMIT_S)
+    case.peers.asked.clear()
+    assert await case.contact.find_refusal(PRIMARY) == ""
+    assert case.peers.asked == ["vm-3"]
+
+
+async def test_order_for_another_instance_forbids_commits(case):
+    """A VM that was told to hold back commits says so to those that were not."""
+    case.answer(svc1="")
+    assert "replaced" in await case.contact.find_refusal(PRIMARY)
+    case.answer(svc1="i-1")
+    await asyncio.sleep(vm_contact.AGE_LIMIT_S)
+    assert await case.contact.find_refusal(PRIMARY) == ""
+
+
+@pytest.mark.parametrize(("claimed", "expected"), [(False, ""), (True, "i-1 is being replaced as the primary")])
+async def test_store_answers_in_place_of_vms(case, claimed, expected):
+    """Where all VMs of other regions are gone, commits go on, unless another VM has claimed the duty."""
+    case.claims.reachable, case.claims.claimed_by_other = True, claimed
+    assert await case.contact.find_refusal(PRIMARY) == expected
+
+
+async def test_waiting_commit_is_broken_off_when_contact_is_lost(case):
+    """A commit that waits for a replica could be acknowledged by one that has started behind a cut."""
+    case.answer()
+    assert await case.contact.find_refusal(PRIMARY) == ""
+    with case.contact.watch(PRIMARY):
+        await asyncio.sleep(0.3)
+        assert case.lost == []
+        case.peers.answers.clear()
+        await asyncio.sleep(vm_contact.SILENCE_S)
+        assert SERVICE in case.lost
+
+
+@pytest.mark.parametrize(("generation", "expected"), [(5, True), (6, False)])
+async def test_success_after_a_stall_is_passed_on_unless_the_duty_was_claimed(case, generation, expected):
+    """While this VM was stalled, another instance may have been promoted, and the order be closed again."""
+    case.answer(generation=5)
+    assert await case.contact.find_refusal(PRIMARY) == ""
+    with case.contact.watch(PRIMARY) as commit:
+        pass
+    case.answer(generation=generation)
+    await asyncio.sleep(vm_contact.AGE_LIMIT_S + 0.05)
+    assert await case.contact.confirm(commit) is expected
+
+
+async def test_malformed_answer_is_no_contact(case):
+    """A VM that sends something else than asked for is treated as silent."""
+    case.peers.answers = {"vm-2": {"ordered": 3}, "vm-3": {}}
+    assert "no contact" in await case.contact.find_refusal(PRIMARY)
+
+
+def test_fleet_tells_held_and_ordered_services():
+    """Answers to questions for contact name the ordered instance, and none while commits are held."""
+    known = fleet.Fleet(settings.Bounds(), {})
+    known.update(PRIMARY, 0.0)
+    assert known.commit_restrictions() == {} and known.latest_claim == 0
+    known.hold_commits(SERVICE, 7)
+    assert known.commit_restrictions() == {SERVICE: ""} and known.latest_claim == 7
+    known.set_order(SERVICE, "i-2", 8)
+    assert known.commit_restrictions() == {SERVICE: "i-2"} and known.latest_claim == 8
+
+
+async def test_refresh_reads_the_claim_of_another_vm():
+    """A VM without contact learns of a claim from the store."""
+
+    class Store:
+        async def read(self, kind, name):
+            return None
+
+    claims = duty_claims.DutyClaims(Store(), "vm-1")
+    assert await claims.refresh(SERVICE) is None and claims.may_claim(SERVICE, 3.0)
