Hold back commits earlier when nobody reaches the old primary

Cause: a promotion that had not heard of a VM waited 0.5 s after the pauses, also where the VMs that answered could have held back commits from the first report on.

Change: if this VM and all that it asked cannot reach the old primary, the first reports already hold back commits; the wait counts from the last answer to the first hold, as long as the holds follow each other without a gap.

The 105 tests of promotions pass.

--- a/src/currantlead/sessions/failover/commit_reports.py
+++ b/src/currantlead/sessions/failover/commit_reports.py
@@ -34,11 +34,22 @@
         since: Clock reading since which all VMs through which commits pass have kept account, in seconds; infinite if
             one of them did not answer.
         unanswered: VMs that did not answer.
+        answered_at: Clock reading of the last answer, in seconds, or of the questions if there was none.
     """
 
     acknowledged: acknowledgements.Acknowledged
     since: float
     unanswered: frozenset[str] = frozenset()
+    answered_at: float = float("-inf")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    """Answer of a VM: the bounds that it knows, since when it has kept account, and when it arrived (clock reading)."""
+
+    bounds: acknowledgements.Acknowledged
+    up_since: float
+    at: float
 
 
 class CommitReports:
@@ -93,15 +104,17 @@
         if held_for:
             self._fleet.hold_commits(service, held_for)
             self._told[service] = [*vms, *skipped]
+        asked_at = clock.now()
         answers = await asyncio.gather(*(self._ask(vm, service, held_for) for vm in vms))
         known = [answer for answer in answers if answer is not None]
         answered = {vm for vm, answer in zip(vms, answers, strict=True) if answer is not None}
         unanswered = frozenset(skipped) | (set(vms) - answered)
-        merged = acknowledgements.merge_all([self._acknowledged.of(service), *(bounds for bounds, _ in known)])
+        merged = acknowledgements.merge_all([self._acknowledged.of(service), *(answer.bounds for answer in known)])
         self._acknowledged.merge(service, merged)
-        since = max([self._started_at, *(up_since for _, up_since in known)])
+        since = max([self._started_at, *(answer.up_since for answer in known)])
         is_complete = unanswered.isdisjoint(sources)
-        return CommitReport(merged, since if is_complete else float("inf"), unanswered)
+        answered_at = max([asked_at, *(answer.at for answer in known)])
+        return CommitReport(merged, since if is_complete else float("inf"), unanswered, answered_at)
 
     def release(self, service: str, held_for: int) -> None:
         """Let the VMs send commits again, because no order will be recorded for a claim."""
@@ -109,8 +122,8 @@
         for vm in self._told.pop(service, ()):
             self._peers.notify(vm, RELEASE, {"service": service, HELD_FOR: held_for})
 
-    async def _ask(self, vm: str, service: str, held_for: int) -> tuple[acknowledgements.Acknowledged, float] | None:
-        """Return what a VM knows, and since when, or None if it did not answer."""
+    async def _ask(self, vm: str, service: str, held_for: int) -> "_Answer | None":
+        """Return the answer of a VM, or None if there is none."""
         asked_at = clock.now()
         try:
             question = {"service": service, HELD_FOR: held_for}
@@ -119,7 +132,7 @@
             for instance_id, started_at_ms, age_s in answer.get(ENDED, ()):
                 self._fleet.record_end(str(instance_id), int(started_at_ms), clock.now() - max(0.0, float(age_s)))
             # The earlier start would be safe only if the answer took no time.
-            return bounds, clock.now() - float(answer[UP_S])
+            return _Answer(bounds, clock.now() - float(answer[UP_S]), clock.now())
         except (errors.PeerUnreachableError, errors.PeerAnswerLostError) as error:
             _log.bind(service=service, peer=vm).info("VM did not report its acknowledged commits: {}", error)
         except (errors.MalformedObjectError, KeyError, TypeError, ValueError) as error:
--- a/src/currantlead/sessions/failover/promotion.py
+++ b/src/currantlead/sessions/failover/promotion.py
@@ -15,7 +15,7 @@
 from currantlead.sessions import clock, model
 from currantlead.sessions.decisions import acknowledgements, election, promotion_choice, promotion_progress, vm_contact
 from currantlead.sessions.failover import commit_reports, instance_commands, promotion_calls, remote_commands
-from currantlead.sessions.instances import fleet, link
+from currantlead.sessions.instances import fleet, link, replacements
 from currantlead.sessions.shared import duty_claims
 
 SETTLE_S = 0.1
@@ -85,6 +85,8 @@
         self._paused: list[model.Instance] = []
         self._full: set[str] = set()
         self._silent_vms: frozenset[str] = frozenset()
+        self._told_at: float | None = None
+        self._held_until = float("-inf")
         self._keeps_pauses = False
         self._is_overtaken = False
 
@@ -103,6 +105,8 @@
             if not refusal:
                 refusal = await self._close_order_of_old()
             if refusal:
+                if self._told_at is not None:
+                    self._tools.reports.release(self._service, self._generation)
                 return refusal
             chosen = await self._stop_replication()
             if isinstance(chosen, str):
@@ -145,7 +149,13 @@
 
     async def _examine(self) -> str:
         """Return why no replica could be promoted as things are, before anything is changed."""
-        report, _, _ = await asyncio.gather(self._collect_report(), self._connect_old(), self._connect_replicas())
+        # Nobody who was asked reaches the old primary; the VMs that do not hear of the hold have stopped the sooner.
+        is_out_of_reach = self._old is not None and not self._connects and self._reached_by == []
+        report, _, _ = await asyncio.gather(
+            self._collect_report(held_for=self._generation if is_out_of_reach else 0),
+            self._connect_old(),
+            self._connect_replicas(),
+        )
         # Read before the positions of the replicas: those that have reached it lack nothing acknowledged before.
         old_status = await self._read_old()
         statuses = await self._read_statuses()
@@ -221,10 +231,15 @@
         )
 
     async def _collect_report(self, *, held_for: int = 0) -> commit_reports.CommitReport:
+        asked_at = clock.now()
         report = await self._tools.reports.collect(
             self._service, self._old, skipped=self._silent_vms, held_for=held_for
         )
         self._silent_vms = report.unanswered
+        if held_for and (self._told_at is None or report.answered_at > self._held_until):
+            # The first hold, or an earlier one has ended before all VMs had this one.
+            self._told_at = report.answered_at
+        self._held_until = asked_at + replacements.HOLD_S
         return report
 
     def _known_replicas(self) -> list[model.Instance]:
@@ -268,6 +283,8 @@
         if closed is None:
             return "another VM has claimed the promotion duty"
         self._generation = closed.generation
+        # The entry of the closed order has ended the hold.
+        self._told_at = None
         return ""
 
     def _open_order(self) -> str:
@@ -280,9 +297,10 @@
         if demoted is not None:
             await asyncio.sleep(SETTLE_S)
         report = await self._pause()
-        if demoted is None and report.unanswered:
-            # A VM that was not told passes on successes for this long, and replicas may become known meanwhile.
-            await asyncio.sleep(vm_contact.SILENCE_S)
+        silent_until = self._told_at + vm_contact.SILENCE_S
+        if demoted is None and report.unanswered and clock.now() < silent_until:
+            # VMs that were not told go on with commits until then, and replicas may become known meanwhile.
+            await asyncio.sleep(silent_until - clock.now())
             report = await self._pause()
         statuses = await self._read_statuses()
         if any(status.role is model.Role.PRIMARY or status.term >= self._term for status in statuses.values()):
