Reject commits at once while contact is lost

A write without contact was tried again for a quarter of its objective before its caller heard of it, although another attempt cannot succeed on this VM. It is rejected at once now, as not run, with a time to return. The cause is "no_contact" in the metrics of refusals.

--- a/src/currantlead/sessions/failover/commit_contact.py
+++ b/src/currantlead/sessions/failover/commit_contact.py
@@ -9,7 +9,7 @@
 
 from currantlead import errors, logs
 from currantlead.peers import network
-from currantlead.sessions import clock, model
+from currantlead.sessions import clock, model, statements
 from currantlead.sessions.decisions import election, vm_contact
 from currantlead.sessions.instances import fleet
 from currantlead.sessions.shared import duty_claims
@@ -22,6 +22,8 @@
 """Time for which a commit waits for contact."""
 READ_S = 0.02
 """Time after the end of a time limit in which replies that have arrived are read."""
+RETRY_AFTER_MS = 500
+"""Time after which the caller of a refused commit may return, in milliseconds: cuts last for seconds."""
 RETRY_DELAY_S = 0.05
 """Pause after a round without an answer."""
 
@@ -85,18 +87,21 @@
         self._watch: asyncio.Task[None] | None = None
         peers.handler(CONTACT)(self._handle_question)
 
-    async def find_refusal(self, instance: model.Instance) -> str:
-        """Return why a commit must not be sent to an instance, or an empty string; wait for contact if necessary."""
+    async def find_refusal(self, instance: model.Instance) -> statements.Failure | None:
+        """Return why a commit must not be sent to an instance, or None; wait for contact if necessary."""
         if not self._partners():
-            return ""
+            return None
         now = clock.now()
         contact = self._contact_of(instance.service)
         while not contact.covers(clock.now()):
             running = self._join_round()
             if contact.is_lost(clock.now()) or clock.now() >= now + ADMISSION_TIMEOUT_S:
-                return f"no contact with the VMs that may replace {instance.id}"
+                detail = f"no contact with the VMs that may replace {instance.id}, retry-after-ms={RETRY_AFTER_MS}"
+                return statements.Failure(statements.Code.BUSY, detail, statements.NO_CONTACT)
             await asyncio.wait({running}, timeout=now + ADMISSION_TIMEOUT_S - clock.now())
-        return "" if contact.allows(instance.id) else f"{instance.id} is being replaced as the primary"
+        if contact.allows(instance.id):
+            return None
+        return statements.Failure(statements.Code.BUSY, f"{instance.id} is being replaced as the primary")
 
     @contextlib.contextmanager
     def watch(self, instance: model.Instance) -> Iterator[Commit]:
--- a/src/currantlead/sessions/instances/paths.py
+++ b/src/currantlead/sessions/instances/paths.py
@@ -145,8 +145,8 @@
 class CommitGuard(Protocol):
     """Decides whether commits may be sent, go on waiting, and be reported as successful."""
 
-    async def find_refusal(self, instance: model.Instance) -> str:
-        """Return why a commit must not be sent to an instance, or an empty string."""
+    async def find_refusal(self, instance: model.Instance) -> statements.Failure | None:
+        """Return why a commit must not be sent to an instance, or None."""
 
     def watch(self, instance: model.Instance) -> contextlib.AbstractContextManager[Any]:
         """Return a context for the time in which a commit waits; it provides what ``confirm`` needs."""
@@ -407,8 +407,7 @@
 
     async def check_commit(self, order: orders.Order) -> statements.Failure | None:
         """Return why an order must not be sent because it commits, or None."""
-        detail = await self._guard.find_refusal(self.instance) if order.commits and self._guard is not None else ""
-        return statements.Failure(statements.Code.BUSY, detail) if detail else None
+        return await self._guard.find_refusal(self.instance) if order.commits and self._guard is not None else None
 
     async def perform(self, order: orders.Order, connection: link.Link) -> orders.Report:
         """Run an order on a connection in use, and measure it if the pool measures statements.
--- a/src/currantlead/sessions/routing/execution.py
+++ b/src/currantlead/sessions/routing/execution.py
@@ -409,7 +409,7 @@
         failure, instance = outcome.failure, target.tracked.instance
         if outcome.unanswered:
             return True
-        if failure is None or failure.code not in statements.NOT_RUN:
+        if failure is None or failure.code not in statements.NOT_RUN or failure.cause == statements.NO_CONTACT:
             return False
         if failure.code is statements.Code.LAGGING and target.after is not None:
             self._fleet.mark_lagging(instance.id, target.after)
--- a/src/currantlead/sessions/statements.py
+++ b/src/currantlead/sessions/statements.py
@@ -53,6 +53,11 @@
 """Error codes with which an instance reports that it did not run the statement."""
 
 
+NO_CONTACT = "no_contact"
+"""Cause of the refusal of a commit while no VM answers that may replace the primary; another attempt would be refused
+too."""
+
+
 class TransactionState(enum.Enum):
     """State of a session's transaction, reported at the end of each response."""
 
--- a/tests/test_commit_contact.py
+++ b/tests/test_commit_contact.py
@@ -5,7 +5,7 @@
 import pytest
 
 from currantlead import errors
-from currantlead.sessions import clock, model, settings
+from currantlead.sessions import clock, model, settings, statements
 from currantlead.sessions.decisions import vm_contact
 from currantlead.sessions.failover import commit_contact
 from currantlead.sessions.instances import fleet
@@ -100,19 +100,19 @@
 
 async def test_commit_is_refused_without_contact(case):
     """A commit is not sent while nobody answers, and the next one is refused at once."""
-    assert "no contact" in await case.contact.find_refusal(PRIMARY)
+    assert (await case.contact.find_refusal(PRIMARY)).cause == statements.NO_CONTACT
     began_at = clock.now()
-    assert "no contact" in await case.contact.find_refusal(PRIMARY)
+    assert (await case.contact.find_refusal(PRIMARY)).cause == statements.NO_CONTACT
     assert clock.now() - began_at < 0.05
     case.answer()
     await asyncio.sleep(vm_contact.LOST_S)
-    assert await case.contact.find_refusal(PRIMARY) == ""
+    assert await case.contact.find_refusal(PRIMARY) is None
 
 
 async def test_no_contact_is_needed_without_other_vms(case):
     """A VM that is alone serves commits."""
     case.partners = []
-    assert await case.contact.find_refusal(PRIMARY) == ""
+    assert await case.contact.find_refusal(PRIMARY) is None
     with case.contact.watch(PRIMARY) as commit:
         pass
     assert await case.contact.confirm(commit)
@@ -122,33 +122,34 @@
 async def test_other_vms_are_asked_if_the_first_is_silent(case):
     """One VM that is down holds commits up for a moment only, and is not asked first the next time."""
     case.answer("vm-3")
-    assert await case.contact.find_refusal(PRIMARY) == ""
+    assert await case.contact.find_refusal(PRIMARY) is None
     await asyncio.sleep(vm_contact.AGE_LIMIT_S)
     case.peers.asked.clear()
-    assert await case.contact.find_refusal(PRIMARY) == ""
+    assert await case.contact.find_refusal(PRIMARY) is None
     assert case.peers.asked == ["vm-3"]
 
 
 async def test_order_for_another_instance_forbids_commits(case):
     """A VM that was told to hold back commits says so to those that were not."""
     case.answer(svc1="")
-    assert "replaced" in await case.contact.find_refusal(PRIMARY)
+    assert "replaced" in (await case.contact.find_refusal(PRIMARY)).detail
     case.answer(svc1="i-1")
     await asyncio.sleep(vm_contact.AGE_LIMIT_S)
-    assert await case.contact.find_refusal(PRIMARY) == ""
+    assert await case.contact.find_refusal(PRIMARY) is None
 
 
-@pytest.mark.parametrize(("claimed", "expected"), [(False, ""), (True, "i-1 is being replaced as the primary")])
+@pytest.mark.parametrize(("claimed", "expected"), [(False, None), (True, "i-1 is being replaced as the primary")])
 async def test_store_answers_in_place_of_vms(case, claimed, expected):
     """Where all VMs of other regions are gone, commits go on, unless another VM has claimed the duty."""
     case.claims.reachable, case.claims.claimed_by_other = True, claimed
-    assert await case.contact.find_refusal(PRIMARY) == expected
+    refusal = await case.contact.find_refusal(PRIMARY)
+    assert (refusal and refusal.detail) == expected
 
 
 async def test_waiting_commit_is_broken_off_when_contact_is_lost(case):
     """A commit that waits for a replica could be acknowledged by one that has started behind a cut."""
     case.answer()
-    assert await case.contact.find_refusal(PRIMARY) == ""
+    assert await case.contact.find_refusal(PRIMARY) is None
     with case.contact.watch(PRIMARY):
         await asyncio.sleep(0.3)
         assert case.lost == []
@@ -161,7 +162,7 @@
 async def test_success_after_a_stall_is_passed_on_unless_the_duty_was_claimed(case, generation, expected):
     """While this VM was stalled, another instance may have been promoted, and the order be closed again."""
     case.answer(generation=5)
-    assert await case.contact.find_refusal(PRIMARY) == ""
+    assert await case.contact.find_refusal(PRIMARY) is None
     with case.contact.watch(PRIMARY) as commit:
         pass
     case.answer(generation=generation)
@@ -172,7 +173,7 @@
 async def test_malformed_answer_is_no_contact(case):
     """A VM that sends something else than asked for is treated as silent."""
     case.peers.answers = {"vm-2": {"ordered": 3}, "vm-3": {}}
-    assert "no contact" in await case.contact.find_refusal(PRIMARY)
+    assert (await case.contact.find_refusal(PRIMARY)).cause == statements.NO_CONTACT
 
 
 def test_fleet_tells_held_and_ordered_services():
