Find cut regions and removed entries with a state machine

The state machine of promotions had no cuts of whole regions, no replicas that start behind a cut, no entries that lapse while the process serves on, and no quiet service. tests/test_region_machine.py has them, with regions as drawn steps.

It also finds a service that does not recover: the order for an instance that leaves before its promotion takes effect stays open, while the old primary, which was cut off, leads.

--- a/tests/promotion_model.py
+++ b/tests/promotion_model.py
@@ -51,8 +51,8 @@
         return self.running and self.role is model.Role.PRIMARY
 
     def register(self):
-        """Write the entry in the store."""
-        if self.running and self.name in self.world.instances:
+        """Write the entry in the store, if it can be reached."""
+        if self.running and self.name in self.world.instances and not self.world.is_cut(self.name, STORE):
             state = (self.draining, self.role, self.born)
             self.world.put(objects.INSTANCES, self.name, state)
 
@@ -355,7 +355,10 @@
             self.fleet.remove_lapsed()
             for name in self.responsive():
                 self.acknowledged.merge(SERVICE, self.world.vms[name].acknowledged.of(SERVICE))
-        if number % round(COMMIT_INTERVAL_S / TICK_S) == 0:
+        share = self.world.commit_share
+        if number % round(COMMIT_INTERVAL_S / TICK_S) == 0 and (
+            share == 1.0 or self.world.commit_random.random() < share
+        ):
             self.run(self.commit())
 
     def _abort_commits(self, service, ordered_id):
@@ -413,6 +416,7 @@
         cut: Pairs of sender and receiver whose messages are lost.
         call_faults, store_faults: Faults from which each call draws.
         callers: VMs by the number that they called with.
+        commit_share: Share of the commits that VMs send; less than 1 for a quiet service.
     """
 
     def __init__(self, seed=0, vms=3):
@@ -423,6 +427,7 @@
         self.patch.setattr(clock, "now", self.loop.time)
         self.patch.setattr(link.Link, "connect", Link.connect)
         self.random, self.contact_random = random.Random(seed), random.Random(seed)
+        self.commit_random, self.commit_share = random.Random(seed), 1.0
         self.cut, self.call_faults, self.store_faults = set(), [""], [""]
         self.objects, self.revision, self.term, self.highest, self.pending = {}, 0, 1, 0, 0
         self.acknowledged, self.effects, self.callers = {}, [], {}
@@ -496,6 +501,18 @@
         """Return whether messages are lost."""
         return (source, target) in self.cut
 
+    def cut_off(self, inside):
+        """Cut VMs and instances off from everything else; returns nothing that is sent either way."""
+        outside = {*self.names, *self.instances, STORE} - set(inside)
+        self.cut |= {(one, other) for one in inside for other in outside}
+        self.cut |= {(other, one) for one in inside for other in outside}
+
+    def mend(self):
+        """Mend all paths; instances whose entries are gone write them again."""
+        self.cut.clear()
+        for item in self.instances.values():
+            item.register()
+
     # Store and platform
 
     def stored(self, kind, name):
@@ -571,12 +588,20 @@
                     waiter.set_result(None)
             primary.waiters = []
 
-    def join(self, log=None, delay_s=None):
-        """Add a replica with a copy of the primary's log, which registers a moment later."""
+    def join(self, log=None, delay_s=None, inside=()):
+        """Add a replica with a copy of the primary's log, which registers a moment later.
+
+        Args:
+            log: Its log, in place of the primary's.
+            delay_s: Time until it registers; None for a drawn one.
+            inside: Names of what is cut off together with the replica.
+        """
         source = self.primary or max(self.instances.values(), key=lambda item: len(item.log), default=None)
         self.created += 1
         item = Instance(self, f"i-{self.created}", log or (source.log if source else ()), self.term)
         self.instances[item.name] = item
+        if inside:
+            self.cut_off({*inside, item.name})
         if delay_s == 0.0:
             item.register()
         else:
@@ -616,7 +641,8 @@
 
     def recover(self):
         """End all faults, and return whether the service works again in time."""
-        self.cut, self.call_faults, self.store_faults = set(), [""], [""]
+        self.cut, self.call_faults, self.store_faults, self.commit_share = set(), [""], [""], 1.0
+        self.mend()
         for vm in self.vms.values():
             vm.awake.set()
         for item in self.instances.values():
--- /dev/null
+++ b/tests/test_region_machine.py
@@ -0,0 +1,184 @@
+"""Stateful property test: cuts of whole regions and entries that are removed lose no acknowledged commit."""
+
+import hypothesis
+import pytest
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from currantlead.sessions.decisions import vm_contact
+from currantlead.sessions.instances import replacements
+from tests import promotion_model
+
+PAUSES_S = st.sampled_from([0.0, 0.1, 0.4, 0.8, 1.5, 3.0])
+SETTLED_S = 20.5
+"""Time after the start from which VMs know all recent departures."""
+
+
+class RegionMachine(stateful.RuleBasedStateMachine):
+    """A service with three VMs, each in a region of its own; every rule lets a drawn time pass afterwards."""
+
+    @stateful.initialize(seed=st.integers(0, 1000), settled=st.booleans())
+    def start(self, seed, settled):
+        """Start the service; the seed decides delays."""
+        self.world = promotion_model.World(seed)
+        self.region = set()
+        if settled:
+            self.world.run(SETTLED_S)
+
+    def _replicas(self):
+        return [item for item in self.world.instances.values() if item is not self.world.primary]
+
+    @stateful.rule(seconds=PAUSES_S)
+    def wait(self, seconds):
+        """Let time pass."""
+        self.world.run(seconds)
+
+    @stateful.rule(share=st.sampled_from([0.05, 1.0]), pause_s=PAUSES_S)
+    def set_pace(self, share, pause_s):
+        """Let the service be quiet or busy."""
+        self.world.commit_share = share
+        self.world.run(pause_s)
+
+    @stateful.rule(vm=st.integers(0, 2), replica=st.none() | st.integers(0, 3), pause_s=PAUSES_S)
+    def cut_off_region(self, vm, replica, pause_s):
+        """Cut off the region of the primary, with one VM and perhaps a replica, from all others and the store."""
+        if self.world.primary is not None and not self.region:
+            self.region = {self.world.names[vm], self.world.primary.name}
+            replicas = self._replicas()
+            if replica is not None and replica < len(replicas) - 1:
+                self.region.add(replicas[replica].name)
+            self.world.cut_off(self.region)
+        self.world.run(pause_s)
+
+    @stateful.precondition(lambda machine: machine.region)
+    @stateful.rule(pause_s=PAUSES_S)
+    def join_inside(self, pause_s):
+        """Start a replica in the region that is cut off, 0.6 s after the cut at least; it cannot write its entry."""
+        if len(self.world.instances) < 6:
+            self.world.run(0.6)
+            item = self.world.join(delay_s=0.0, inside=self.region)
+            self.region.add(item.name)
+        self.world.run(pause_s)
+
+    @stateful.rule(pause_s=PAUSES_S)
+    def join(self, pause_s):
+        """Start a replica outside."""
+        if len(self.world.instances) < 6 and not self.region:
+            self.world.join()
+        self.world.run(pause_s)
+
+    @stateful.rule(pause_s=PAUSES_S)
+    def cut_replication(self, pause_s):
+        """Let the replicas that do not drain receive nothing."""
+        if self.world.primary is not None:
+            for item in self._replicas():
+                if not item.draining:
+                    self.world.cut |= {(self.world.primary.name, item.name)}
+        self.world.run(pause_s)
+
+    @stateful.rule(index=st.integers(0, 4), drain_s=st.sampled_from([5.0, 8.0]), pause_s=PAUSES_S)
+    def drain(self, index, drain_s, pause_s):
+        """Let an instance leave; 0 is the primary."""
+        items = [*filter(None, [self.world.primary]), *self._replicas()]
+        item = items[index % len(items)]
+        if not item.draining and not self.region:
+            self.world.drain(item, drain_s)
+        self.world.run(pause_s)
+
+    @stateful.rule(drain_s=st.sampled_from([5.0, 8.0]), pause_s=PAUSES_S)
+    def silence_draining(self, drain_s, pause_s):
+        """Let a replica drain that alone receives; the store removes its entry, because it has not heard of it."""
+        replicas = self._replicas()
+        if self.world.primary is not None and not self.region and replicas and not replicas[0].draining:
+            self.world.drain(replicas[0], drain_s)
+            self.world.run(0.4)
+            self.world.objects.pop((promotion_model.objects.INSTANCES, replicas[0].name), None)
+            self.cut_replication(pause_s)
+
+    @stateful.rule(pause_s=PAUSES_S)
+    def mend_paths(self, pause_s):
+        """Mend all paths."""
+        self.region = set()
+        self.world.mend()
+        self.world.run(pause_s)
+
+    @stateful.invariant()
+    def is_safe(self):
+        """Check the promotions that took effect."""
+        if hasattr(self, "world"):
+            self.world.check()
+
+    def teardown(self):
+        """End the run."""
+        if hasattr(self, "world"):
+            self.world.close()
+
+
+class RecoveryMachine(RegionMachine):
+    """The same, with a check that the service recovers once all faults have ended."""
+
+    def teardown(self):
+        """Check the recovery, unless a check of safety has failed."""
+        if hasattr(self, "world"):
+            try:
+                if not any(effect.lost for effect in self.world.effects):
+                    recovered = self.world.recover()
+                    self.world.check()
+                    assert recovered, "the service does not recover"
+            finally:
+                self.world.close()
+
+
+SETTINGS = hypothesis.settings(stateful_step_count=15, max_examples=max(100, hypothesis.settings.default.max_examples))
+TestRegionMachine = pytest.mark.timeout(400)(RegionMachine.TestCase)
+TestRegionMachine.settings = SETTINGS
+# Shrinking a failure takes minutes.
+TestRecoveryMachine = pytest.mark.timeout(400)(RecoveryMachine.TestCase)
+TestRecoveryMachine.settings = SETTINGS
+
+
+def test_ordered_instance_leaves_while_the_old_primary_lives_behind_a_cut():
+    """Guards against an order for an instance that is gone, for which all commits wait although a primary leads."""
+    machine = RecoveryMachine()
+    machine.start(seed=45, settled=False)
+    try:
+        machine.drain(index=1, drain_s=5.0, pause_s=3.0)
+        machine.mend_paths(pause_s=0.1)
+        machine.drain(index=0, drain_s=8.0, pause_s=0.1)
+        machine.cut_replication(pause_s=3.0)
+        machine.cut_replication(pause_s=1.5)
+        machine.cut_off_region(vm=0, replica=None, pause_s=3.0)
+    finally:
+        machine.teardown()
+
+
+def _need_no_contact(patch):
+    patch.setattr(vm_contact.Contact, "covers", lambda *_: True)
+    patch.setattr(vm_contact.Contact, "allows", lambda *_: True)
+
+
+def _take_removed_entries_for_ends(patch):
+    record = replacements.Departures.record
+
+    def record_end(departures, instance, gone_at, ended_at=None):
+        record(departures, instance, gone_at, gone_at if instance.draining else ended_at)
+
+    patch.setattr(replacements.Departures, "record", record_end)
+
+
+@pytest.mark.timeout(400)
+@pytest.mark.parametrize("break_rule", [_need_no_contact, _take_removed_entries_for_ends])
+def test_state_machine_detects_broken_rule(break_rule, monkeypatch):
+    """Guards against a state machine test that passes because its schedules never reach the fault."""
+    break_rule(monkeypatch)
+    monkeypatch.setattr(promotion_model.World, "check", promotion_model.World.check_promotions)
+    settings = hypothesis.settings(
+        stateful_step_count=15,
+        max_examples=1500,
+        derandomize=True,
+        phases=[hypothesis.Phase.generate],
+        database=None,
+        report_multiple_bugs=False,
+    )
+    with pytest.raises(AssertionError, match="LOST"):
+        stateful.run_state_machine_as_test(RegionMachine, settings=settings)
