--- a/src/currantlead/sessions/failover/promotion.py
+++ b/src/currantlead/sessions/failover/promotion.py
@@ -149,7 +149,8 @@
 
     async def _examine(self) -> str:
         """Return why no replica could be promoted as things are, before anything is changed."""
-        # Nobody who was asked reaches the old primary; the VMs that do not hear of the hold have stopped the sooner.
+        # Commits are held from the first reports on if nobody who was asked reaches the old primary. This shortens the
+        # wait for VMs that were not told.
         is_out_of_reach = self._old is not None and not self._connects and self._reached_by == []
         report, _, _ = await asyncio.gather(
             self._collect_report(held_for=self._generation if is_out_of_reach else 0),
@@ -168,9 +169,9 @@
         return refusal
 
     async def _await_commits_of_leaving(self, statuses: dict[str, model.InstanceStatus]) -> str:
-        """Return why a replica that may lead does not get the commits that only leaving ones have, or an empty string.
+        """Wait until a replica that may lead has all commits of those that leave; return why none has, or empty.
 
-        After the choice, the old primary would have to lead again.
+        Without such a replica, the old primary would have to lead again after it was demoted.
         """
         latest = max((status.received for status in statuses.values()), default=acknowledgements.NO_POSITION)
         if not statuses or self._has_promotable(statuses, latest):
@@ -231,6 +232,7 @@
         )
 
     async def _collect_report(self, *, held_for: int = 0) -> commit_reports.CommitReport:
+        """Collect the reports of the VMs, and note since when all that answer have held back commits."""
         asked_at = clock.now()
         report = await self._tools.reports.collect(
             self._service, self._old, skipped=self._silent_vms, held_for=held_for
