Replace a random run that finds a fault only at times by a schedule

The steps are drawn alike each time, but sets of names are iterated in an order that differs between processes, so that delays are drawn in another order. The fault needs four steps in a row, which 1500 examples meet at times only.

--- a/tests/test_region_machine.py
+++ b/tests/test_region_machine.py
@@ -1,5 +1,7 @@
 """Stateful property test: cuts of whole regions and entries that are removed lose no acknowledged commit."""
 
+import contextlib
+
 import hypothesis
 import pytest
 from hypothesis import stateful
@@ -145,11 +147,33 @@
     patch.setattr(replacements.Departures, "record", record_end)
 
 
+def _lose_a_draining_replica_of_a_quiet_service(seed):
+    machine = RegionMachine()
+    machine.start(seed=seed, settled=True)
+    try:
+        machine.set_pace(share=0.05, pause_s=3.0)
+        machine.silence_draining(drain_s=8.0, pause_s=1.5)
+        machine.wait(seconds=1.5)
+        machine.drain(index=0, drain_s=8.0, pause_s=3.0)
+        machine.is_safe()
+    finally:
+        machine.teardown()
+
+
+@pytest.mark.parametrize("is_broken", [False, True])
+def test_draining_replica_without_entry_keeps_commits_of_a_quiet_service(is_broken, monkeypatch):
+    """Guards against taking a removed entry for the end of its instance; with that fault, some seeds lose a commit."""
+    if is_broken:
+        _take_removed_entries_for_ends(monkeypatch)
+    with pytest.raises(AssertionError, match="LOST") if is_broken else contextlib.nullcontext():
+        for seed in range(40):
+            _lose_a_draining_replica_of_a_quiet_service(seed)
+
+
 @pytest.mark.timeout(400)
-@pytest.mark.parametrize("break_rule", [_need_no_contact, _take_removed_entries_for_ends])
-def test_state_machine_detects_broken_rule(break_rule, monkeypatch):
+def test_state_machine_detects_commits_without_contact(monkeypatch):
     """Guards against a state machine test that passes because its schedules never reach the fault."""
-    break_rule(monkeypatch)
+    _need_no_contact(monkeypatch)
     monkeypatch.setattr(promotion_model.World, "check", promotion_model.World.check_promotions)
     settings = hypothesis.settings(
         stateful_step_count=15,
