Break off waiting commits when contact tells of an order

Cause: a VM that a promotion did not reach learns of the hold or the order from the VM that it asks for contact. It refused further commits then, and did not pass on successes, but a commit that waited at the old primary went on waiting, and the primary could acknowledge it with a replica that the promotion did not know.

Change: an answer that names another instance, or none, breaks off the commits that wait, as a loss of contact does.

Evidence: tests/test_commit_contact.py::test_waiting_commit_is_broken_off_when_another_instance_is_to_lead fails before in both variants and passes.

--- a/src/currantlead/sessions/daemon.py
+++ b/src/currantlead/sessions/daemon.py
@@ -186,7 +186,7 @@
         )
         self.fleet.on_ordered = self.connections.abort_commits
         if self.commit_contact is not None:
-            self.commit_contact.on_lost = lambda service: self.connections.abort_commits(service, "")
+            self.commit_contact.on_forbidden = self.connections.abort_commits
         self.mirror.attach_sampler(self.sampler)
         self.mirror.paces_start = config.load_management.start_pacing
         self.failover = (
--- a/src/currantlead/sessions/failover/commit_contact.py
+++ b/src/currantlead/sessions/failover/commit_contact.py
@@ -63,7 +63,8 @@
         count_round: Called with the result of each round of questions, for metrics.
 
     Attributes:
-        on_lost: Called with a service whose waiting commits have to be broken off.
+        on_forbidden: Called with a service whose waiting commits have to be broken off, and with the only instance at
+            which they may go on, or an empty identity.
     """
 
     def __init__(
@@ -79,7 +80,7 @@
         self._claims = claims
         self._partners = partners
         self._count_round = count_round
-        self.on_lost: Callable[[str], None] = lambda service: None
+        self.on_forbidden: Callable[[str, str], None] = lambda service, ordered: None
         self._contacts: dict[str, vm_contact.Contact] = {}
         self._waiting: collections.Counter[str] = collections.Counter()
         self._last_answered_by = ""
@@ -178,6 +179,8 @@
             for service, contact in self._contacts.items():
                 if reply.services is None or service in reply.services:
                     contact.record_answer(service, asked_at, reply.answer)
+                    if contact.ordered is not None:
+                        self.on_forbidden(service, contact.ordered)
             return
         self._count_round("silent")
         for service, contact in self._contacts.items():
@@ -186,7 +189,7 @@
                     "no VM that may replace the primary answers, breaking off commits"
                 )
             contact.lost_at = clock.now()
-            self.on_lost(service)
+            self.on_forbidden(service, "")
         await asyncio.sleep(RETRY_DELAY_S)
 
     def _ask(self, question: Coroutine[Any, Any, _Reply | None]) -> "asyncio.Task[_Reply | None]":
--- a/tests/promotion_model.py
+++ b/tests/promotion_model.py
@@ -300,7 +300,7 @@
             self.network, self.fleet, self.claims, lambda: [name for name in self.world.names if name != self.name]
         )
         self.fleet.on_ordered = self._abort_commits
-        self.contact.on_lost = lambda service: self._abort_commits(service, "")
+        self.contact.on_forbidden = self._abort_commits
         remote = remote_commands.RemoteCommands(
             self.network, self.fleet, lambda instance: self.responsive(), lambda instance_id: False
         )
--- a/tests/test_commit_contact.py
+++ b/tests/test_commit_contact.py
@@ -61,12 +61,12 @@
     """Contact of a VM with two partners."""
 
     def __init__(self):
-        self.peers, self.claims, self.lost = Peers(), Claims(), []
+        self.peers, self.claims, self.forbidden = Peers(), Claims(), []
         self.fleet = fleet.Fleet(settings.Bounds(), REGIONS)
         self.fleet.update(PRIMARY, 0.0)
         self.partners = ["vm-2", "vm-3"]
         self.contact = commit_contact.CommitContact(self.peers, self.fleet, self.claims, lambda: self.partners)
-        self.contact.on_lost = self.lost.append
+        self.contact.on_forbidden = lambda service, ordered: self.forbidden.append((service, ordered))
 
     def answer(self, vm="vm-2", generation=0, **ordered):
         """Let a VM answer."""
@@ -152,10 +152,21 @@
     assert await case.contact.find_refusal(PRIMARY) is None
     with case.contact.watch(PRIMARY):
         await asyncio.sleep(0.3)
-        assert case.lost == []
+        assert case.forbidden == []
         case.peers.answers.clear()
         await asyncio.sleep(vm_contact.SILENCE_S)
-        assert SERVICE in case.lost
+        assert (SERVICE, "") in case.forbidden
+
+
+@pytest.mark.parametrize("ordered", ["", "i-2"])
+async def test_waiting_commit_is_broken_off_when_another_instance_is_to_lead(case, ordered):
+    """Guards against LOST: a VM that was not told of an order hears of it while a commit waits at the old primary."""
+    case.answer()
+    assert await case.contact.find_refusal(PRIMARY) is None
+    with case.contact.watch(PRIMARY):
+        case.answer(svc1=ordered)
+        await asyncio.sleep(vm_contact.REFRESH_AGE_S + 0.1)
+        assert (SERVICE, ordered) in case.forbidden
 
 
 @pytest.mark.parametrize(("generation", "expected"), [(5, True), (6, False)])
