Tell of held services whose instances have no entries

Cause: the answer to a question for contact listed orders and holds by the known instances. Where a VM had lost their entries, because the store had removed them, it told others that any instance may get commits although it had been told to hold back.

Change: the answer comes from the orders and holds themselves.

Evidence: tests/test_commit_contact.py::test_held_service_without_known_instances_is_told fails before and passes.

--- a/src/currantlead/sessions/instances/fleet.py
+++ b/src/currantlead/sessions/instances/fleet.py
@@ -326,18 +326,11 @@
         return self._orders.latest_revision
 
     def commit_restrictions(self) -> dict[str, str]:
-        """Return for each service with an order the only instance that may get commits.
+        """Return for each service with an order the only instance that may get commits, empty while they are held back.
 
-        The identity is empty while commits are held back until the order is recorded.
+        The services need not have known instances: their entries may have disappeared.
         """
-        restrictions = {}
-        for service in self._by_service:
-            order = self._orders.of(service)
-            if self._orders.is_held(service):
-                restrictions[service] = ""
-            elif order is not None:
-                restrictions[service] = order.instance_id
-        return restrictions
+        return self._orders.restrictions()
 
     def is_replaced(self, instance_id: str) -> bool:
         """Return whether an open order names another instance of the service, so that this one may get no commits."""
--- a/src/currantlead/sessions/instances/replacements.py
+++ b/src/currantlead/sessions/instances/replacements.py
@@ -130,6 +130,11 @@
         held = self._holds.get(service)
         return held is not None and clock.now() < held.until
 
+    def restrictions(self) -> dict[str, str]:
+        """Return for each service with an order the ordered instance, or an empty identity while commits are held."""
+        ordered = {service: order.instance_id for service, order in self._orders.items()}
+        return ordered | {service: "" for service in self._holds if self.is_held(service)}
+
     def of(self, service: str) -> OpenOrder | None:
         """Return the open order of a service, or None."""
         return self._orders.get(service)
--- a/tests/test_commit_contact.py
+++ b/tests/test_commit_contact.py
@@ -198,6 +198,15 @@
     assert known.commit_restrictions() == {SERVICE: "i-2"} and known.latest_claim == 8
 
 
+def test_held_service_without_known_instances_is_told():
+    """Guards against telling another VM that any instance may get commits, because their entries have disappeared."""
+    known = fleet.Fleet(settings.Bounds(), {})
+    known.hold_commits(SERVICE, 7)
+    assert known.commit_restrictions() == {SERVICE: ""}
+    known.set_order(SERVICE, "i-2", 8)
+    assert known.commit_restrictions() == {SERVICE: "i-2"}
+
+
 async def test_refresh_reads_the_claim_of_another_vm():
     """A VM without contact learns of a claim from the store."""
 
