Count former primaries that are gone from the store

Cause: of the instances that are gone only those are remembered, asked and paused whose last entry says replica. A former primary that cannot reach the store keeps an entry that says primary; and one that was gone while it led was not remembered when another instance followed.

Change: an instance that is gone counts unless it leads, and the last leader counts from the moment at which another one leads.

--- a/src/currantlead/sessions/instances/fleet.py
+++ b/src/currantlead/sessions/instances/fleet.py
@@ -131,7 +131,7 @@
         if tracked is not None:
             instance = _reconcile(tracked.instance, instance)
         if tracked is not None and tracked.instance.started_at_ms != instance.started_at_ms:
-            self._departures.record(tracked.instance, clock.now(), ended_at=clock.now())
+            self._record_departure(tracked, clock.now(), ended_at=clock.now())
         if tracked is None or tracked.instance.started_at_ms != instance.started_at_ms:
             tracked = self._instances[instance.id] = TrackedInstance(instance)
             self._departures.forget(instance)
@@ -157,6 +157,9 @@
         gone = self._gone_leaders.get(instance.service)
         if gone is not None and (gone.instance.id == instance.id or tracked.primary_since > gone.primary_since):
             del self._gone_leaders[instance.service]
+            if gone.instance.id != instance.id:
+                # It may only be cut off from the store, and acknowledge the commits of its successor.
+                self._departures.record(gone.instance, clock.now())
         self._orders.end_in_effect(instance)
         if not instance.draining:
             tracked.draining_since = None
@@ -175,7 +178,7 @@
             return
         if tracked.instance.draining:
             self._forget(tracked)
-            self._departures.record(tracked.instance, clock.now())
+            self._record_departure(tracked, clock.now())
             _log.bind(instance=instance_id).info("entry of a draining instance removed")
         elif tracked.lapsed_at is None:
             tracked.lapsed_at = clock.now()
@@ -192,7 +195,7 @@
         ]
         for tracked in expired:
             self._forget(tracked)
-            self._departures.record(tracked.instance, tracked.lapsed_at)
+            self._record_departure(tracked, tracked.lapsed_at)
             _log.bind(instance=tracked.instance.id).warning("lapsed instance removed")
         return [tracked.instance.id for tracked in expired]
 
@@ -206,6 +209,15 @@
         if not of_service:
             del self._by_service[instance.service]
 
+    def _record_departure(self, tracked: TrackedInstance, gone_at: float, ended_at: float | None = None) -> None:
+        """Record that an instance is gone, unless it leads: what a primary acknowledged is on a replica, too.
+
+        An entry that says primary may be older than the promotion of another instance, whose commits it acknowledges.
+        """
+        instance = tracked.instance
+        if instance.role is model.Role.REPLICA or self.leader(instance.service) is not tracked:
+            self._departures.record(instance, gone_at, ended_at)
+
     def departures(self, service: str) -> list[replacements.Departure]:
         """Return the replicas of a service that have left recently."""
         return self._departures.of(service)
--- a/src/currantlead/sessions/instances/replacements.py
+++ b/src/currantlead/sessions/instances/replacements.py
@@ -42,9 +42,8 @@
         self._since = clock.now()
 
     def record(self, instance: model.Instance, gone_at: float, ended_at: float | None = None) -> None:
-        """Record that an instance is gone, unless it led: what a primary acknowledged is on a replica, too."""
-        if instance.role is model.Role.REPLICA:
-            self._departures.append(Departure(instance, gone_at, ended_at))
+        """Record that an instance is gone."""
+        self._departures.append(Departure(instance, gone_at, ended_at))
 
     def record_end(self, instance_id: str, started_at_ms: int, ended_at: float) -> None:
         """Record that the process of an instance that is gone was known to have ended at a clock reading."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -102,3 +102,35 @@
     corrected = dataclasses.replace(old, role=model.Role.REPLICA, revision=objects.combine_revision(1, 9))
     instances.update(corrected, clock.now())
     assert instances.primary("svc1").instance.id == "i-2"
+
+
+def promote(instances, name, revision):
+    """Let an entry show that an instance leads."""
+    instances.update(dataclasses.replace(PRIMARY, id=name, revision=revision), clock.now())
+
+
+def lapse(instances, name):
+    """Let the entry of an instance disappear for longer than it is kept."""
+    instances.remove(name)
+    instances.get(name).lapsed_at = clock.now() - fleet.LAPSE_GRACE_S - 1
+    instances.remove_lapsed()
+
+
+def test_former_primary_whose_entry_still_says_primary_counts_as_gone():
+    """Guards against LOST: it cannot reach the store, and acknowledges the commits of its successor."""
+    instances = make_fleet()
+    instances.update(PRIMARY, clock.now())
+    promote(instances, "i-2", 6)
+    lapse(instances, "i-1")
+    assert [item.instance.id for item in instances.departures("svc1")] == ["i-1"]
+
+
+def test_primary_that_was_gone_before_its_successor_led_counts_as_gone():
+    """Guards against LOST: while it led, what it acknowledged was on a replica; now only it may have a commit."""
+    instances = make_fleet()
+    instances.update(PRIMARY, clock.now())
+    lapse(instances, "i-1")
+    assert instances.departures("svc1") == [] and instances.leader("svc1").instance.id == "i-1"
+    promote(instances, "i-2", 6)
+    (departure,) = instances.departures("svc1")
+    assert departure.instance.id == "i-1" and departure.ended_at is None
