Choose the partners of contact once for each change of the members

Every commit chose them three times, which hashes the names of all VMs. The choice is kept until a VM comes or goes or the settings change (failover/contact_partners.py), and which VMs report in any case is decided beside it, no longer in the daemon.

--- a/src/currantlead/sessions/daemon.py
+++ b/src/currantlead/sessions/daemon.py
@@ -21,8 +21,14 @@
     settings_reload,
 )
 from currantlead.sessions.callers import access_control, session, token_buckets, token_exchange
-from currantlead.sessions.decisions import acknowledgements, election, start_pacing, vm_contact
-from currantlead.sessions.failover import commit_contact, commit_reports, remote_commands, succession
+from currantlead.sessions.decisions import acknowledgements, election, start_pacing
+from currantlead.sessions.failover import (
+    commit_contact,
+    commit_reports,
+    contact_partners,
+    remote_commands,
+    succession,
+)
 from currantlead.sessions.instances import alarms, connection_limits, connections, fleet, holders
 from currantlead.sessions.membership import eviction, liveness, members, overload, registration, start
 from currantlead.sessions.routing import execution, freshness, sampling, targets
@@ -107,12 +113,15 @@
         )
         self.start_phase = start_pacing.StartPhase(clock.now()) if load_management.start_pacing else None
         self.overloads = overload.OverloadMonitor.from_config(config)
+        self.contact_partners = contact_partners.ContactPartners(
+            self.members, lambda: self.settings.region_of, self.liveness.is_down
+        )
         self.commit_contact = (
             commit_contact.CommitContact(
                 self.network,
                 self.fleet,
                 self.duty_claims,
-                self._contact_partners,
+                self.contact_partners.partners,
                 lambda result: self.metrics.count("contact_rounds", result=result),
             )
             if self.duty_claims is not None
@@ -196,7 +205,11 @@
                 self.duty_claims,
                 config.promotions,
                 commit_reports.CommitReports(
-                    self.network, self.fleet, self.acknowledged_commits, self._commit_sources, self._reporting_vms
+                    self.network,
+                    self.fleet,
+                    self.acknowledged_commits,
+                    self._commit_sources,
+                    self.contact_partners.reporting,
                 ),
                 remote_commands.RemoteCommands(self.network, self.fleet, self._vms_near, self.connections.close_idle),
                 vm=config.vm,
@@ -334,22 +347,6 @@
             return self.members.names()
         return self.connections.past_holders(primary)
 
-    def _contact_partners(self) -> list[str]:
-        """Return the VMs that this one asks whether commits may be passed on, those that respond first."""
-        partners = vm_contact.select_partners(self.members.own, self.members.all(), self.settings.region_of)
-        return sorted((member.name for member in partners), key=self.liveness.is_down)
-
-    def _reporting_vms(self) -> list[str]:
-        """Return the VMs that report on commits in any case: all, or those that others ask for contact.
-
-        The VM of a caller knows the bounds of its commits better than a holder, and a holder may be gone.
-        """
-        names = self.members.names()
-        if len(names) <= commit_reports.MAX_VMS:
-            return names
-        partners = vm_contact.choose_partners(self.members.all(), self.settings.region_of)
-        return [member.name for member in partners]
-
     def _vms_near(self, instance: model.Instance) -> list[str]:
         """Return the VMs that respond, those of an instance's failure domain first."""
         in_domain = {member.name for member in self.members.all() if member.domain == instance.domain}
--- a/src/currantlead/sessions/decisions/vm_contact.py
+++ b/src/currantlead/sessions/decisions/vm_contact.py
@@ -23,6 +23,11 @@
 SILENCE_S = 0.5
 """Time after which a VM that got no answer since has broken off all its commits: ``REFRESH_AGE_S``, ``ROUND_S`` and a
 delay of its event loop."""
+CLAIM_LIMIT_S = 10.0
+"""Time for which a claim of another VM without an order forbids commits, if only the store answers. An attempt takes
+about as long if each of its steps reaches its time limit."""
+MAX_REPORTING_VMS = 16
+"""Number of VMs up to which all report on commits before a promotion."""
 PARTNERS_PER_GROUP = 2
 """Number of VMs of each region that are asked for contact."""
 
@@ -63,6 +68,18 @@
     return choose_partners(in_other_domains or others, {})
 
 
+def select_reporting(members: Sequence[model.Member], region_of: Mapping[str, str]) -> list[model.Member]:
+    """Return the VMs that report on commits in any case: all, or those that others ask for contact.
+
+    The VM of a caller knows the bounds of its commits better than a holder, and a holder may be gone.
+
+    Args:
+        members: All VMs.
+        region_of: Region of each failure domain.
+    """
+    return list(members) if len(members) <= MAX_REPORTING_VMS else choose_partners(members, region_of)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
     """Answer of a VM to the question whether another instance is to lead.
--- a/src/currantlead/sessions/failover/commit_reports.py
+++ b/src/currantlead/sessions/failover/commit_reports.py
@@ -17,8 +17,6 @@
 ACKNOWLEDGED = "acknowledged"
 RELEASE = "release"
 BOUNDS, HELD_FOR, UP_S, ENDED = "bounds", "held_for", "up_s", "ended"
-MAX_VMS = 16
-"""Number of VMs up to which all report."""
 ANSWER_TIMEOUT_S = 0.3
 """Time limit of an answer: several round trips between regions (50 ms) on a busy machine."""
 
--- /dev/null
+++ b/src/currantlead/sessions/failover/contact_partners.py
@@ -0,0 +1,54 @@
+"""VMs that are asked about commits, chosen again only when the members or the regions change."""
+
+from collections.abc import Callable, Mapping
+
+from currantlead.sessions import model
+from currantlead.sessions.decisions import vm_contact
+from currantlead.sessions.membership import members
+
+
+class ContactPartners:
+    """Keeps the choice of the VMs that this one asks for contact, and of those that report before a promotion.
+
+    Args:
+        known_members: The registered VMs.
+        region_of: Returns the region of each failure domain.
+        is_down: Returns whether a VM does not respond.
+    """
+
+    def __init__(
+        self,
+        known_members: members.Members,
+        region_of: Callable[[], Mapping[str, str]],
+        is_down: Callable[[str], bool],
+    ):
+        self._members = known_members
+        self._region_of = region_of
+        self._is_down = is_down
+        self._chosen_for: tuple[int, Mapping[str, str]] | None = None
+        self._partners: list[str] = []
+        self._reporting: list[str] = []
+
+    def partners(self) -> list[str]:
+        """Return the VMs that this one asks for contact, those that respond first."""
+        self._choose()
+        return sorted(self._partners, key=self._is_down)
+
+    def reporting(self) -> list[str]:
+        """Return the VMs that report on commits before a promotion."""
+        self._choose()
+        return self._reporting
+
+    def _choose(self) -> None:
+        regions = self._region_of()
+        basis = self._members.version, regions
+        if basis == self._chosen_for:
+            return
+        self._chosen_for = basis
+        known = sorted(self._members.all(), key=lambda member: member.name)
+        self._partners = _names(vm_contact.select_partners(self._members.own, known, regions))
+        self._reporting = _names(vm_contact.select_reporting(known, regions))
+
+
+def _names(chosen: list[model.Member]) -> list[str]:
+    return [member.name for member in chosen]
