Keep the watch of commits when a question for contact fails

Cause: an error that nobody expected in a question ended the round, and with it the watch that breaks off waiting commits; the next commit began a new one, but those that waited went on without.

Change: a question that fails is logged with its error and counts as unanswered.

Evidence: tests/test_commit_contact.py::test_unexpected_error_ends_neither_the_round_nor_the_watch fails before and passes.

--- a/src/currantlead/sessions/failover/commit_contact.py
+++ b/src/currantlead/sessions/failover/commit_contact.py
@@ -193,7 +193,7 @@
         await asyncio.sleep(RETRY_DELAY_S)
 
     def _ask(self, question: Coroutine[Any, Any, _Reply | None]) -> "asyncio.Task[_Reply | None]":
-        return asyncio.get_running_loop().create_task(question)
+        return asyncio.get_running_loop().create_task(_answer_safely(question))
 
     async def _ask_vm(self, vm: str) -> _Reply | None:
         try:
@@ -226,6 +226,15 @@
         return {ORDERED: self._fleet.commit_restrictions(), GENERATION: self._fleet.latest_claim}
 
 
+async def _answer_safely(question: Coroutine[Any, Any, _Reply | None]) -> _Reply | None:
+    """Return the reply to a question, or None if it failed: the commits that wait depend on the end of the round."""
+    try:
+        return await question
+    except Exception as error:
+        _log.opt(exception=error).error("a question for contact failed")
+        return None
+
+
 async def _first_reply(
     questions: "set[asyncio.Task[_Reply | None]]", deadline: float
 ) -> "tuple[_Reply | None, set[asyncio.Task[_Reply | None]]]":
@@ -238,6 +247,6 @@
         done, questions = await asyncio.wait(questions, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED)
         replies = [reply for reply in (question.result() for question in done) if reply is not None]
         if replies:
-            # An instance that one VM forbids gets no commits, whatever the others know.
+            # Of replies that arrive together, one that knows of an order goes before one that does not.
             return max(replies, key=lambda reply: len(reply.answer.ordered)), questions
     return None, questions
--- a/tests/test_commit_contact.py
+++ b/tests/test_commit_contact.py
@@ -7,8 +7,9 @@
 from currantlead import errors
 from currantlead.sessions import clock, model, settings, statements
 from currantlead.sessions.decisions import vm_contact
-from currantlead.sessions.failover import commit_contact
+from currantlead.sessions.failover import commit_contact, contact_partners
 from currantlead.sessions.instances import fleet
+from currantlead.sessions.membership import members
 from currantlead.sessions.shared import duty_claims
 
 SERVICE = "svc1"
@@ -83,19 +84,19 @@
 
 def test_partners_are_in_other_regions():
     """A region may be cut off as a whole, so that VMs of the same region prove nothing."""
-    members = [member("vm-1", "z1"), member("vm-2", "z2"), member("vm-3", "z3"), member("vm-4", "z4")]
-    assert {item.name for item in vm_contact.select_partners(members[0], members, REGIONS)} == {"vm-3", "vm-4"}
-    assert [item.name for item in vm_contact.select_partners(members[0], members[:2], REGIONS)] == ["vm-2"]
-    assert vm_contact.select_partners(members[0], members[:1], REGIONS) == []
+    vms = [member("vm-1", "z1"), member("vm-2", "z2"), member("vm-3", "z3"), member("vm-4", "z4")]
+    assert {item.name for item in vm_contact.select_partners(vms[0], vms, REGIONS)} == {"vm-3", "vm-4"}
+    assert [item.name for item in vm_contact.select_partners(vms[0], vms[:2], REGIONS)] == ["vm-2"]
+    assert vm_contact.select_partners(vms[0], vms[:1], REGIONS) == []
 
 
 def test_partners_of_all_vms_are_among_the_chosen_ones():
     """The VM that promotes tells all VMs that others ask, also where it does not tell all VMs."""
-    members = [member(f"vm-{number}", f"z{number % 4 + 1}") for number in range(40)]
-    chosen = {item.name for item in vm_contact.choose_partners(members, REGIONS)}
+    vms = [member(f"vm-{number}", f"z{number % 4 + 1}") for number in range(40)]
+    chosen = {item.name for item in vm_contact.select_reporting(vms, REGIONS)}
     assert len(chosen) == 3 * vm_contact.PARTNERS_PER_GROUP
-    for own in members:
-        assert {item.name for item in vm_contact.select_partners(own, members, REGIONS)} <= chosen
+    for own in vms:
+        assert {item.name for item in vm_contact.select_partners(own, vms, REGIONS)} <= chosen
 
 
 async def test_commit_is_refused_without_contact(case):
@@ -146,6 +147,35 @@
     assert (refusal and refusal.detail) == expected
 
 
+async def test_unexpected_error_ends_neither_the_round_nor_the_watch(case, monkeypatch):
+    """Guards against commits that wait without a watch, because a task ended by an error that nobody expected."""
+    case.answer()
+    assert await case.contact.find_refusal(PRIMARY) is None
+
+    async def fail(*_, **__):
+        raise RuntimeError("unexpected")
+
+    monkeypatch.setattr(case.peers, "request", fail)
+    monkeypatch.setattr(case.claims, "refresh", fail)
+    with case.contact.watch(PRIMARY):
+        await asyncio.sleep(vm_contact.SILENCE_S)
+        assert case.forbidden.count((SERVICE, "")) > 1
+
+
+def test_partners_follow_the_members_and_the_regions():
+    """The choice is kept for all commits until a VM comes or goes, or the settings name other regions."""
+    known, regions, down = members.Members(member("vm-1", "z1")), dict(REGIONS), set()
+    chosen = contact_partners.ContactPartners(known, lambda: regions, down.__contains__)
+    assert chosen.partners() == []
+    known.update([member("vm-2", "z2"), member("vm-3", "z3"), member("vm-4", "z4")], ())
+    assert sorted(chosen.partners()) == ["vm-3", "vm-4"]
+    down.add(chosen.partners()[0])
+    assert chosen.partners()[1] in down
+    assert sorted(chosen.reporting()) == ["vm-1", "vm-2", "vm-3", "vm-4"]
+    regions = {"z1": "r1", "z2": "r2", "z3": "r1", "z4": "r1"}
+    assert chosen.partners() == ["vm-2"]
+
+
 async def test_waiting_commit_is_broken_off_when_contact_is_lost(case):
     """A commit that waits for a replica could be acknowledged by one that has started behind a cut."""
     case.answer()
