--- /dev/null
+++ b/review/common_3/__init__.py
@@ -0,0 +1,1 @@
+"""Parts that the scripts of the third review share."""
