Do not promote while VMs that were not told can give each other contact

Cause: without a demoted primary, a promotion waits until VMs that were not told have broken off their commits, because no VM of another region gives them contact. This holds if a cut follows the regions.

Change: if the old primary is not demoted and has not ended, there is no promotion while one of the VMs that did not report is a contact partner of another one of them. A region that is cut off as a whole is still replaced, since its VMs are no partners of each other, and so is a primary whose process has ended.

Tests: test_vms_of_two_regions_on_the_side_of_the_primary_give_each_other_contact plays 40 seeds; without the new rule some lose a commit (its broken variant).

--- a/src/currantlead/sessions/daemon.py
+++ b/src/currantlead/sessions/daemon.py
@@ -215,6 +215,7 @@
                 vm=config.vm,
                 members=self._responsive_vms,
                 configured=lambda: self.configuration.services,
+                find_contact_among=self.contact_partners.find_contact_among,
                 count_outcome=lambda outcome: self.metrics.count("promotions", result=outcome),
                 count_call=lambda result: self.metrics.count("promotion_calls", result=result),
                 on_stage=self.refusals.record_stage,
--- a/src/currantlead/sessions/decisions/vm_contact.py
+++ b/src/currantlead/sessions/decisions/vm_contact.py
@@ -3,10 +3,13 @@
 A region that is cut off may have the primary, VMs, and a replica that started there and that nobody outside knows. What
 these acknowledge is lost when a replica outside is promoted. A VM therefore takes commits only while VMs of another
 region tell it that no other instance is to lead. All functions are pure.
+
+A cut need not follow the regions. VMs on the same side then give each other contact, and a VM on the other side that
+has not told them of its order must not promote.
 """
 
 import dataclasses
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 
 from currantlead.sessions import model
 from currantlead.sessions.decisions import holder_choice
@@ -80,6 +83,25 @@
     return list(members) if len(members) <= MAX_REPORTING_VMS else choose_partners(members, region_of)
 
 
+def find_contact_among(
+    silent: Collection[str], members: Sequence[model.Member], region_of: Mapping[str, str]
+) -> list[str]:
+    """Return which of the VMs that were not told of a promotion may give another one of them contact.
+
+    Args:
+        silent: Names of the VMs that were not told.
+        members: All VMs.
+        region_of: Region of each failure domain.
+    """
+    partners = {
+        partner.name
+        for member in members
+        if member.name in silent
+        for partner in select_partners(member, members, region_of)
+    }
+    return sorted(partners.intersection(silent))
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
     """Answer of a VM to the question whether another instance is to lead.
--- a/src/currantlead/sessions/failover/contact_partners.py
+++ b/src/currantlead/sessions/failover/contact_partners.py
@@ -1,6 +1,6 @@
 """VMs that are asked about commits, chosen again only when the members or the regions change."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 from currantlead.sessions import model
 from currantlead.sessions.decisions import vm_contact
@@ -39,6 +39,17 @@
         self._choose()
         return self._reporting
 
+    def find_contact_among(self, unanswered: Collection[str]) -> list[str]:
+        """Return which VMs may give others contact that were not told of a promotion either.
+
+        Args:
+            unanswered: VMs that were asked for their reports and did not answer.
+        """
+        asked = self.reporting()
+        known = self._members.all()
+        silent = {item.name for item in known if item.name not in asked and self._is_down(item.name)}
+        return vm_contact.find_contact_among(silent.union(unanswered), list(known), self._region_of())
+
     def _choose(self) -> None:
         regions = self._region_of()
         basis = self._members.version, regions
--- a/src/currantlead/sessions/failover/promotion.py
+++ b/src/currantlead/sessions/failover/promotion.py
@@ -43,6 +43,7 @@
         reports: Collects the other VMs' reports on acknowledged commits.
         remote: Helps with instances through other VMs.
         calls: Records orders and calls for promotions.
+        find_contact_among: Returns which VMs may let others commit, if some did not report.
         on_stage: Called with the service when its promotion reaches a stage.
     """
 
@@ -51,6 +52,7 @@
     reports: commit_reports.CommitReports
     remote: remote_commands.RemoteCommands
     calls: promotion_calls.PromotionCalls
+    find_contact_among: Callable[[Collection[str]], list[str]]
     on_stage: Callable[[str, promotion_progress.Stage], None]
 
 
@@ -87,6 +89,7 @@
         self._claimed_at = float("-inf")
         self._term = 0
         self._old_link: link.Link | None = None
+        self._has_old_ended = False
         self._links: dict[str, link.Link] = {}
         self._tried: list[model.Instance] = []
         self._paused: list[model.Instance] = []
@@ -152,7 +155,9 @@
         if self._old is None:
             return
         if self._connects:
-            self._old_link = await instance_commands.connect(self._old, self._tools.remote.make_room)
+            links: dict[str, link.Link] = {}
+            refusals = await instance_commands.connect_all([self._old], links, self._tools.remote.make_room)
+            self._old_link, self._has_old_ended = links.get(self._old.id), bool(refusals.absent)
         if self._old_link is None and self._reached_by is None:
             self._reached_by = await self._tools.remote.find_vms(self._old)
 
@@ -210,6 +215,10 @@
             return f"replicas did not answer the status request: {', '.join(missing)}"
         if any(status.role is model.Role.PRIMARY for status in statuses.values()):
             return "a replica is already primary"
+        if self._old_link is None and not self._reached_by:
+            refusal = self._find_unnoticed_commits(report)
+            if refusal:
+                return refusal
         self._term = max((status.term for status in statuses.values()), default=0) + 1
         latest = max((status.received for status in statuses.values()), default=acknowledgements.NO_POSITION)
         if not statuses or (old_status is not None and old_status.role is model.Role.REPLICA):
@@ -224,6 +233,16 @@
         old = None if old_status is None else promotion_choice.PausedReplica(self._old.id, old_status.received, False)
         return promotion_choice.explain_missing(self._describe([], 0, old, report), latest)
 
+    def _find_unnoticed_commits(self, report: commit_reports.CommitReport) -> str:
+        """Return why VMs that did not report may go on with commits at an old primary that is not demoted, or empty.
+
+        A replica that starts meanwhile could acknowledge them, and nobody on this side might know of it.
+        """
+        partners = self._tools.find_contact_among(report.unanswered)
+        if self._has_old_ended or not partners:
+            return ""
+        return f"VMs that did not report may get contact from {', '.join(partners)} and go on with commits"
+
     async def _read_old(self) -> model.InstanceStatus | None:
         """Return the status of the old primary, or None if this VM cannot reach it."""
         if self._old_link is None:
@@ -313,6 +332,9 @@
             # VMs that were not told go on with commits until then, and replicas may become known meanwhile.
             await asyncio.sleep(silent_until - clock.now())
             report = await self._pause()
+        refusal = self._find_unnoticed_commits(report) if demoted is None else ""
+        if refusal:
+            return refusal
         situation = await self._read_situation(demoted, report)
         entries_at = self._claimed_at + ENTRY_TIMEOUT_S
         if situation is not None and promotion_choice.may_lack_entries(situation) and clock.now() < entries_at:
--- a/src/currantlead/sessions/failover/succession.py
+++ b/src/currantlead/sessions/failover/succession.py
@@ -41,6 +41,7 @@
         vm: Name of this VM.
         members: Returns the VMs that may promote, this one included.
         configured: Returns the services of the configuration; entries of instances may name others.
+        find_contact_among: Returns which VMs may let others commit, of those that did not report and the others.
         count_outcome: Called with the outcome of each attempt, for metrics.
         count_call: Called with the result of each promotion call, for metrics.
         on_stage: Called with the service when its promotion reaches a stage, on this VM or on another one.
@@ -58,6 +59,7 @@
         vm: str,
         members: Callable[[], list[str]],
         configured: Callable[[], Collection[str]],
+        find_contact_among: Callable[[Collection[str]], list[str]],
         count_outcome: Callable[[str], None] = lambda outcome: None,
         count_call: Callable[[str], None] = lambda result: None,
         on_stage: Callable[[str, promotion_progress.Stage], None] = lambda service, stage: None,
@@ -66,7 +68,7 @@
         self._claims = claims
         claims.on_claimed = self._handle_claim
         calls = promotion_calls.PromotionCalls(shared, claims, promotions, vm, count_call)
-        self._tools = promotion.Tools(instances, claims, reports, remote, calls, on_stage)
+        self._tools = promotion.Tools(instances, claims, reports, remote, calls, find_contact_among, on_stage)
         self._vm = vm
         self._members = members
         self._configured = configured
--- a/tests/promotion_model.py
+++ b/tests/promotion_model.py
@@ -307,6 +307,7 @@
         self.failover = succession.Failover(
             self.fleet, self.store, self.claims, settings.Address("127.0.0.1", 1), self.reports, remote,
             vm=self.name, members=self.responsive, configured=lambda: {SERVICE},
+            find_contact_among=lambda silent: sorted(silent) if len(silent) > 1 else [],
         )  # fmt: skip
         self.poll()
 
--- a/tests/test_commit_contact.py
+++ b/tests/test_commit_contact.py
@@ -103,6 +103,22 @@
         assert {item.name for item in vm_contact.select_partners(own, vms, REGIONS)} <= chosen
 
 
+@pytest.mark.parametrize(
+    ("silent", "expected"),
+    [
+        ([], []),
+        (["vm-3"], []),
+        (["vm-1", "vm-2"], []),
+        (["vm-3", "vm-4"], ["vm-3", "vm-4"]),
+        (["vm-1", "vm-2", "vm-4"], ["vm-1", "vm-2", "vm-4"]),
+    ],
+)
+def test_silent_vms_of_several_regions_give_each_other_contact(silent, expected):
+    """VMs of one region have no contact among themselves; a cut may leave those of two regions together."""
+    vms = [member("vm-1", "z1"), member("vm-2", "z2"), member("vm-3", "z3"), member("vm-4", "z4")]
+    assert vm_contact.find_contact_among(silent, vms, REGIONS) == expected
+
+
 async def test_commit_is_refused_without_contact(case):
     """A commit is not sent while nobody answers, and the next one is refused at once."""
     assert (await case.contact.find_refusal(PRIMARY)).cause == statements.NO_CONTACT
--- a/tests/test_region_machine.py
+++ b/tests/test_region_machine.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from currantlead.sessions.decisions import promotion_choice, vm_contact
+from currantlead.sessions.failover import promotion
 from currantlead.sessions.instances import replacements
 from tests import promotion_model
 
@@ -182,6 +183,41 @@
             _lose_a_draining_replica_of_a_quiet_service(seed)
 
 
+def _split_across_regions(seed):
+    """Cut off the primary with VMs of two regions, and start two replicas that both sides reach."""
+    machine = RegionMachine()
+    machine.start(seed=seed, settled=False)
+    world = machine.world
+    try:
+        world.cut_off({world.names[0], world.names[1], world.primary.name})
+        world.run(1.2 + seed % 8 * 0.1)
+        for _ in range(3):
+            world.join(delay_s=0.9)
+            machine.wait(seconds=0.4)
+            machine.is_safe()
+        machine.wait(seconds=3.0)
+        machine.is_safe()
+        world.mend()
+        machine.wait(seconds=10.0)
+        machine.is_safe()
+        assert max(world.acknowledged.values()) > world.loop.time() - 2.0, "no commit is acknowledged after the split"
+    finally:
+        machine.teardown()
+
+
+@pytest.mark.parametrize("is_broken", [False, True])
+def test_vms_of_two_regions_on_the_side_of_the_primary_give_each_other_contact(is_broken, monkeypatch):
+    """Guards against promoting while VMs that were not told of it go on with commits at a primary that still leads.
+
+    A replica that starts then acknowledges them. With that fault, some seeds lose a commit.
+    """
+    if is_broken:
+        monkeypatch.setattr(promotion.Promotion, "_find_unnoticed_commits", lambda *_: "")
+    with pytest.raises(AssertionError, match="LOST") if is_broken else contextlib.nullcontext():
+        for seed in range(40):
+            _split_across_regions(seed)
+
+
 @pytest.mark.timeout(400)
 def test_state_machine_detects_commits_without_contact(monkeypatch):
     """Guards against a state machine test that passes because its schedules never reach the fault."""
