Wait again for VMs that were not told after waiting for first entries

Cause: the hold on commits lasts 1 s. While an attempt waits for the first entries of new replicas, it ends, and VMs that were not told of the claim may get contact and go on with commits. The replicas were paused and compared once more, but the wait until such VMs have broken off their commits was not repeated, and neither was the check whether they can give each other contact. Found by reading the new code; no run has shown a loss.

Change: both pauses of an attempt go through the same steps. The tests of promotions and the state machines pass.

--- a/src/currantlead/sessions/failover/promotion.py
+++ b/src/currantlead/sessions/failover/promotion.py
@@ -326,6 +326,19 @@
         demoted = await self._demote()
         if demoted is not None:
             await asyncio.sleep(SETTLE_S)
+        situation = await self._pause_and_read(demoted)
+        entries_at = self._claimed_at + ENTRY_TIMEOUT_S
+        if not isinstance(situation, str) and promotion_choice.may_lack_entries(situation) and clock.now() < entries_at:
+            await asyncio.sleep(entries_at - clock.now())
+            situation = await self._pause_and_read(demoted)
+        if isinstance(situation, str):
+            return situation
+        chosen = promotion_choice.choose_replica(situation)
+        self._log_choice(situation, chosen)
+        return chosen
+
+    async def _pause_and_read(self, demoted: promotion_choice.PausedReplica | None) -> promotion_choice.Situation | str:
+        """Pause all replicas and return what is known then, or why nothing may be promoted."""
         report = await self._pause()
         silent_until = self._told_at + vm_contact.SILENCE_S
         if demoted is None and report.unanswered and clock.now() < silent_until:
@@ -335,17 +348,7 @@
         refusal = self._find_unnoticed_commits(report) if demoted is None else ""
         if refusal:
             return refusal
-        situation = await self._read_situation(demoted, report)
-        entries_at = self._claimed_at + ENTRY_TIMEOUT_S
-        if situation is not None and promotion_choice.may_lack_entries(situation) and clock.now() < entries_at:
-            await asyncio.sleep(entries_at - clock.now())
-            report = await self._pause()
-            situation = await self._read_situation(demoted, report)
-        if situation is None:
-            return "another promotion has taken effect"
-        chosen = promotion_choice.choose_replica(situation)
-        self._log_choice(situation, report, chosen)
-        return chosen
+        return await self._read_situation(demoted, report) or "another promotion has taken effect"
 
     async def _read_situation(
         self, demoted: promotion_choice.PausedReplica | None, report: commit_reports.CommitReport
@@ -423,22 +426,17 @@
             paused, replicas, demoted, report.acknowledged, report.since, departed, self._open_order(), clock.now()
         )
 
-    def _log_choice(
-        self,
-        situation: promotion_choice.Situation,
-        report: commit_reports.CommitReport,
-        chosen: promotion_choice.PausedReplica | str,
-    ) -> None:
+    def _log_choice(self, situation: promotion_choice.Situation, chosen: promotion_choice.PausedReplica | str) -> None:
         """Log the choice with all that it was based on."""
         now = clock.now()
-        acknowledged = report.acknowledged
+        acknowledged = situation.acknowledged
         self._bind(
             positions={item.instance: str(item.received) for item in situation.paused},
             demoted=str(situation.demoted.received) if situation.demoted is not None else None,
             gone_s={item.instance: round(now - item.gone_at, 2) for item in situation.departed},
             acknowledged=[str(acknowledged.at_least), str(acknowledged.at_most)],
             last_sent_s=round(now - acknowledged.sent_at, 2) if acknowledged.sent_at > float("-inf") else None,
-            silent_vms=sorted(report.unanswered),
+            silent_vms=sorted(self._silent_vms),
             open_order=situation.ordered,
         ).info("{}", f"no promotion: {chosen}" if isinstance(chosen, str) else f"promoting {chosen.instance}")
 
