--- a/tests/test_succession_machine.py
+++ b/tests/test_succession_machine.py
@@ -259,12 +259,23 @@
     machine.join(pause_s=0.0)
 
 
+def _primary_is_back_before_the_order_is_recorded(machine):
+    machine.crash_or_restart(index=1, pause_s=0.0)
+    machine.cut_from_vms(vms={0}, index=0, direction="to", pause_s=3.0)
+    machine.join(pause_s=0.0)
+    machine.set_store_faults(faults=["", "late", "down"])
+    machine.wait(seconds=0.05)
+    machine.join(pause_s=3.0)
+    machine.crash_or_restart(index=0, pause_s=3.0)
+    machine.join(pause_s=0.8)
+
+
 SEEDS_BY_SCHEDULE = {
     _leave_with_the_only_copy: range(10),
     _join_while_the_primary_is_unreachable: range(10),
     _overlap_with_late_calls: range(45),
     _primary_restarts_after_the_choice: range(10),
-    _primary_is_reachable_again_after_the_choice: range(10),
+    _primary_is_reachable_again_after_the_choice: range(40),
     _only_a_vm_that_was_frozen_reaches_the_primary: range(10),
     _only_a_vm_without_contact_reaches_the_primary: range(10),
     _store_fails_between_pause_and_order: [360],
@@ -272,9 +283,10 @@
     _pause_is_lost: range(10),
     _vm_is_frozen_after_its_pauses: range(10),
     _late_call_acts_during_the_next_attempt: [68],
-    _store_refuses_the_order: [784],
+    _store_refuses_the_order: [784, 16],
     _ordered_instance_leaves_before_the_old_primary_is_back: range(4),
-    _vm_is_killed_after_its_pauses: [912],
+    _vm_is_killed_after_its_pauses: [912, 0],
+    _primary_is_back_before_the_order_is_recorded: [141],
 }
 
 
