--- a/src/currantlead/sessions/decisions/vm_contact.py
+++ b/src/currantlead/sessions/decisions/vm_contact.py
@@ -32,7 +32,7 @@
 MAX_REPORTING_VMS = 16
 """Number of VMs up to which all report on commits before a promotion."""
 PARTNERS_PER_GROUP = 2
-"""Number of VMs of each region that are asked for contact."""
+"""Number of VMs of each region that are asked for contact, and that record commits."""
 
 
 def choose_partners(members: Sequence[model.Member], region_of: Mapping[str, str]) -> list[model.Member]:
--- a/src/currantlead/sessions/failover/commit_contact.py
+++ b/src/currantlead/sessions/failover/commit_contact.py
@@ -196,7 +196,7 @@
 
     async def _record(self, instance: model.Instance, bounds: acknowledgements.Acknowledged) -> _Reply | None:
         """Let a VM of another region, or the store, record a commit; return the reply, or None if none has it."""
-        # The commit may have been sent before others that it does not precede, and clocks differ.
+        # Without the time of sending: the receiver does not know how long the message took, and would date it too late.
         bounds = dataclasses.replace(bounds, sent_at=float("-inf"))
         body = {SERVICE: instance.service, INSTANCE: instance.id, BOUNDS: bounds.encode(0.0)}
         return await self._ask_in_turn(body, lambda: self._record_in_store(instance.service, bounds))
--- a/src/currantlead/sessions/failover/contact_partners.py
+++ b/src/currantlead/sessions/failover/contact_partners.py
@@ -1,4 +1,4 @@
-"""VMs that are asked about commits, chosen again only when the members or the regions change."""
+"""VMs that are asked about commits and record them, chosen again only when the members or the regions change."""
 
 from collections.abc import Callable, Collection, Mapping
 
