Put a success in doubt if this VM stalls while it is recorded

Cause: confirming a success used to need no wait while contact was recent; now it waits for the record. Whether the VM was stalled was looked at before this wait only. A VM that is suspended in the middle of it reads an answer that was given after another instance was promoted and its order closed again, when commits are allowed once more.

Change: the age of the success is looked at again after the record; a success that took longer than contact lasts is passed on only if no newer claim is known. The log says why a success is in doubt.

Found by reading. test_success_is_in_doubt_if_this_vm_stalls_while_it_is_recorded failed before (the success was passed on) and passes now.

--- a/src/currantlead/sessions/failover/commit_contact.py
+++ b/src/currantlead/sessions/failover/commit_contact.py
@@ -154,19 +154,27 @@
         contact = self._contact_of(service)
         is_stalled = not contact.covers(arrived_at)
         reply = await self._record(commit.instance, bounds)
+        is_stalled = is_stalled or clock.now() - arrived_at > vm_contact.AGE_LIMIT_S
         if reply is not None:
             contact.record_answer(service, arrived_at, reply.answer)
-        is_safe = (
-            reply is not None and contact.allows(commit.instance.id) and not self._fleet.is_replaced(commit.instance.id)
-        )
-        if is_stalled and max(contact.generation, self._fleet.latest_claim) > commit.generation:
-            # Another instance may have been chosen while this VM was stalled.
-            is_safe = False
-        if not is_safe:
+        doubt = self._find_doubt(commit, contact, is_recorded=reply is not None, is_stalled=is_stalled)
+        if doubt:
             _log.bind(instance=commit.instance.id, ordered=contact.ordered, generation=contact.generation).warning(
-                "success of a commit is not passed on, it may be lost"
+                "success of a commit is not passed on: {}", doubt
             )
-        return is_safe
+        return not doubt
+
+    def _find_doubt(self, commit: Commit, contact: vm_contact.Contact, *, is_recorded: bool, is_stalled: bool) -> str:
+        """Return why a commit that succeeded may be missing from the log of a new primary, or an empty string."""
+        if not is_recorded:
+            return f"neither a VM of another region nor the store recorded it within {vm_contact.ROUND_S} s"
+        if not contact.allows(commit.instance.id) or self._fleet.is_replaced(commit.instance.id):
+            return "its instance is being replaced as the primary"
+        latest_claim = max(contact.generation, self._fleet.latest_claim)
+        if is_stalled and latest_claim > commit.generation:
+            # Another instance may have been promoted meanwhile, and its order be closed again.
+            return f"this VM was stalled, and claim {latest_claim} is newer than {commit.generation} at its sending"
+        return ""
 
     def close(self) -> None:
         """Stop asking."""
--- a/src/currantlead/sessions/instances/paths.py
+++ b/src/currantlead/sessions/instances/paths.py
@@ -437,7 +437,7 @@
             return report
         if self._guard is None or await self._guard.confirm(commit, report.reply.position):
             return report
-        failure = statements.Failure(statements.Code.IN_DOUBT, f"{self.instance.id} may have been replaced")
+        failure = statements.Failure(statements.Code.IN_DOUBT, f"the success at {self.instance.id} is not confirmed")
         return dataclasses.replace(report, reply=dataclasses.replace(report.reply, result=failure))
 
     async def _commit(self, order: orders.Order, connection: link.Link) -> orders.Report:
--- a/tests/test_commit_contact.py
+++ b/tests/test_commit_contact.py
@@ -1,6 +1,7 @@
 """Contact with VMs that may replace a primary: whether commits are sent, broken off, and reported as successful."""
 
 import asyncio
+import time
 
 import pytest
 
@@ -405,6 +406,19 @@
         await records.record(SERVICE, acknowledgements.Acknowledged(at_most=model.Position(1, 50)))
     store.stored = objects.StoredObject(SERVICE, 1, {"at_least": 3})
     with pytest.raises(errors.MalformedObjectError):
+async def test_success_is_in_doubt_if_this_vm_stalls_while_it_is_recorded(case, monkeypatch):
+    """Guards against LOST: meanwhile another instance may have been promoted, and the order be closed again."""
+    case.answer(generation=5)
+    commit = await send(case)
+
+    async def answer_after_a_stall(vm, kind, body, *, timeout_s):
+        time.sleep(vm_contact.AGE_LIMIT_S + 0.05)  # noqa: ASYNC251
+        return {"ordered": {}, "generation": 6}
+
+    monkeypatch.setattr(case.peers, "request", answer_after_a_stall)
+    assert not await case.contact.confirm(commit, LOG_END)
+
+
         await records.read(SERVICE)
 
 
