--- a/src/currantlead/platform/objects.py
+++ b/src/currantlead/platform/objects.py
@@ -392,9 +392,15 @@
         errors.MalformedObjectError: The record is malformed.
     """
     try:
-        (low_term, low_number), (high_term, high_number) = stored.value["at_least"], stored.value["at_most"]
-        return model.Position(int(low_term), int(low_number)), model.Position(int(high_term), int(high_number))
-    except (KeyError, TypeError, ValueError, OverflowError) as error:
+        value = _expect_type("spec", stored.value, dict)
+        at_least, at_most = (
+            model.Position(*(_expect_count(field, part) for part in _expect_type(field, value[field], list)))
+            for field in ("at_least", "at_most")
+        )
+        if at_least > at_most:
+            raise ValueError(f"at_least: {at_least} is above at_most: {at_most}")
+        return at_least, at_most
+    except (KeyError, TypeError, ValueError) as error:
         raise errors.MalformedObjectError(f"record of commits {stored.name!r} is malformed: {error!r}") from error
 
 
--- a/src/currantlead/sessions/failover/commit_contact.py
+++ b/src/currantlead/sessions/failover/commit_contact.py
@@ -216,7 +216,7 @@
         """
         try:
             await self._records.record(service, bounds)
-        except (errors.PlatformUnavailableError, errors.MalformedObjectError) as error:
+        except errors.PlatformUnavailableError as error:
             _log.bind(service=service).info("no record of a commit in the store: {}", error)
             return None
         return await self._ask_store(frozenset({service}))
--- a/src/currantlead/sessions/failover/commit_reports.py
+++ b/src/currantlead/sessions/failover/commit_reports.py
@@ -30,8 +30,8 @@
 
     Attributes:
         acknowledged: Bounds of the latest acknowledged commit that any of them knows.
-        since: Clock reading since which all acknowledged commits are in the reports, in seconds; infinite if too many
-            VMs did not answer.
+        since: Clock reading since which all acknowledged commits are in the reports, in seconds; infinite if too few
+            VMs answered.
         unanswered: VMs that did not answer.
         answered_at: Clock reading of the last answer, in seconds, or of the questions if there was none.
         departed: By identity and start the instances that are gone and not known to have ended, with the earliest clock
@@ -114,7 +114,6 @@
 
         Raises:
             errors.PlatformUnavailableError: The store gave no usable response.
-            errors.MalformedObjectError: The store sent a malformed record.
         """
         own = self._peers.member.vm
         asked = dict.fromkeys([*self._sources(primary), *self._members()])
@@ -125,7 +124,13 @@
         asked_at = clock.now()
         answers = await asyncio.gather(*(self._ask(vm, service, held_for) for vm in vms))
         by_vm = {vm: answer for vm, answer in zip(vms, answers, strict=True) if answer is not None}
-        recorded = await self._records.read(service) if held_for else acknowledgements.Acknowledged()
+        recorded, since = acknowledgements.Acknowledged(), self._find_complete_since(asked, skipped, by_vm)
+        if held_for:
+            try:
+                recorded = await self._records.read(service)
+            except errors.MalformedObjectError as error:
+                _log.bind(service=service).warning("reports are incomplete: {}", error)
+                since = float("inf")
         merged = acknowledgements.merge_all(
             [self._acknowledged.of(service), recorded, *(answer.bounds for answer in by_vm.values())]
         )
@@ -140,10 +145,16 @@
                     departed[key] = min(gone_at, departed.get(key, gone_at))
         return CommitReport(
             merged,
-            acknowledgements.find_complete_since(up_since, self._partners()),
+            since,
             frozenset(skipped) | (set(vms) - set(by_vm)),
             max([asked_at, *(answer.at for answer in by_vm.values())]),
             departed,
+    def _find_complete_since(self, asked: Iterable[str], skipped: Iterable[str], by_vm: Mapping[str, _Answer]) -> float:
+        up_since = dict.fromkeys([*asked, *skipped], float("inf"))
+        up_since |= {vm: answer.up_since for vm, answer in by_vm.items()}
+        up_since[self._peers.member.vm] = self._started_at
+        return acknowledgements.find_complete_since(up_since, self._partners())
+
         )
 
     def release(self, service: str, held_for: int) -> None:
