Take a failure domain for heard only if something of it was received just now

Causes, all of them in what decides whether an instance that is gone still counts: - A VM counted as responding until something was asked of it in vain, so a dark failure domain could look alive for as long as nobody asked. - A VM that was suspended for more than 20 s went by what it had heard before, and forgot the instance at once. - The three VMs that probe an instance told the others of its end for 20 s only. A VM that does not probe, and hears nothing from the failure domain, reported the instance as gone without an end for an hour.

Change: a domain is heard if an instance there renews its entry, or bytes from a VM there arrived in the last 5 s, and not after a gap of 5 s between two looks. Ends are told for an hour. The departures are kept by service.

Found by reading. test_stalled_vm_forgets_no_instance and test_end_is_told_for_longer_than_the_instance_counts failed before and pass now.

--- a/src/currantlead/peers/network.py
+++ b/src/currantlead/peers/network.py
@@ -95,6 +95,11 @@
         """Return the VMs with an open stream."""
         return [vm for vm, current in self._streams.items() if not current.closed]
 
+    def heard_vms(self, within_s: float) -> list[str]:
+        """Return the VMs from which something was received in the last ``within_s`` seconds."""
+        since = asyncio.get_running_loop().time() - within_s
+        return [vm for vm, current in self._streams.items() if current.received_at >= since]
+
     def silent_vms(self, quiet_s: float) -> list[str]:
         """Return the VMs with unanswered requests that have sent nothing for ``quiet_s`` seconds."""
         since = asyncio.get_running_loop().time() - quiet_s
--- a/src/currantlead/peers/stream.py
+++ b/src/currantlead/peers/stream.py
@@ -44,6 +44,7 @@
     Attributes:
         vm: Name of the peer, empty before its hello.
         incarnation: Incarnation of the peer.
+        received_at: Time on the loop's clock of the last received bytes, or of the start of the stream.
         silent_since: Time on the loop's clock of the last received bytes, or of the oldest unanswered request if it
             was sent later.
         ready: Future that completes after the peer's hello, or fails if the stream closes before it.
@@ -60,7 +61,7 @@
         self._last_number = 0
         self.vm = ""
         self.incarnation = 0
-        self.silent_since = self._loop.time()
+        self.received_at = self.silent_since = self._loop.time()
         self.ready: asyncio.Future[None] = self._loop.create_future()
         # Nothing awaits this future of an accepted stream; retrieving the exception prevents a warning of asyncio.
         self.ready.add_done_callback(lambda done: done.cancelled() or done.exception())
@@ -86,7 +87,7 @@
     def data_received(self, data: bytes) -> None:
         """Handle the frames that the received bytes complete."""
         self._owner.bytes_received += len(data)
-        self.silent_since = self._loop.time()
+        self.received_at = self.silent_since = self._loop.time()
         try:
             for kind, number, incarnation, body in self._decoder.feed(data):
                 if not self.vm:
--- a/src/currantlead/sessions/daemon.py
+++ b/src/currantlead/sessions/daemon.py
@@ -30,7 +30,7 @@
     remote_commands,
     succession,
 )
-from currantlead.sessions.instances import alarms, connection_limits, connections, fleet, holders
+from currantlead.sessions.instances import alarms, connection_limits, connections, fleet, holders, replacements
 from currantlead.sessions.membership import eviction, liveness, members, overload, registration, start
 from currantlead.sessions.routing import execution, freshness, sampling, targets
 from currantlead.sessions.shared import configuration_age, duty_claims, mirror, shared_state, store
@@ -117,7 +117,7 @@
         self.contact_partners = contact_partners.ContactPartners(
             self.members, lambda: self.settings.region_of, self.liveness.is_down
         )
-        self.fleet.find_domains_of_vms = self._find_domains_of_responsive_vms
+        self.fleet.find_domains_of_vms = self._find_domains_of_heard_vms
         records = commit_records.CommitRecords(self.store)
         self.commit_contact = (
             commit_contact.CommitContact(
@@ -400,9 +400,10 @@
         """Return the members that are not down, including this VM."""
         return [name for name in self.members.names() if not self.liveness.is_down(name)]
 
-    def _find_domains_of_responsive_vms(self) -> set[str]:
-        """Return the failure domains with a member that is not down."""
-        return {member.domain for member in self.members.all() if not self.liveness.is_down(member.name)}
+    def _find_domains_of_heard_vms(self) -> set[str]:
+        """Return the failure domains of this VM and of those from which something was received just now."""
+        heard = {self.settings.vm, *self.network.heard_vms(replacements.NEWS_AGE_S)}
+        return {member.domain for member in self.members.all() if member.name in heard}
 
     async def _serve_session(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         new_session = session.Session(
--- a/src/currantlead/sessions/failover/commit_reports.py
+++ b/src/currantlead/sessions/failover/commit_reports.py
@@ -135,9 +135,7 @@
             [self._acknowledged.of(service), recorded, *(answer.bounds for answer in by_vm.values())]
         )
         self._acknowledged.merge(service, merged)
-        up_since = dict.fromkeys([*asked, *skipped], float("inf"))
-        up_since |= {vm: answer.up_since for vm, answer in by_vm.items()} | {own: self._started_at}
-        ended = {key for answer in by_vm.values() for key in answer.ended}
+        ended = set(self._fleet.ends(service)).union(*(answer.ended for answer in by_vm.values()))
         departed: dict[tuple[str, int], float] = {}
         for answer in by_vm.values():
             for key, gone_at in answer.departed.items():
@@ -149,14 +147,14 @@
             frozenset(skipped) | (set(vms) - set(by_vm)),
             max([asked_at, *(answer.at for answer in by_vm.values())]),
             departed,
+        )
+
     def _find_complete_since(self, asked: Iterable[str], skipped: Iterable[str], by_vm: Mapping[str, _Answer]) -> float:
         up_since = dict.fromkeys([*asked, *skipped], float("inf"))
         up_since |= {vm: answer.up_since for vm, answer in by_vm.items()}
         up_since[self._peers.member.vm] = self._started_at
         return acknowledgements.find_complete_since(up_since, self._partners())
 
-        )
-
     def release(self, service: str, held_for: int) -> None:
         """Let the VMs send commits again, because no order will be recorded for a claim."""
         self._fleet.release_commits(service, held_for)
@@ -192,15 +190,15 @@
         if body.get(HELD_FOR):
             self._fleet.hold_commits(str(body["service"]), int(body[HELD_FOR]))
         now, service = clock.now(), str(body["service"])
-        departures = [
-            (item.ended_at, item.gone_at, [item.instance.id, item.instance.started_at_ms])
-            for item in self._fleet.departures(service)
-        ]
         return {
             BOUNDS: self._acknowledged.of(service).encode(now),
             UP_S: now - self._started_at,
-            ENDED: [[*key, now - ended_at] for ended_at, _, key in departures if ended_at is not None],
-            DEPARTED: [[*key, now - gone_at] for ended_at, gone_at, key in departures if ended_at is None],
+            ENDED: [[*key, now - ended_at] for key, ended_at in self._fleet.ends(service).items()],
+            DEPARTED: [
+                [item.instance.id, item.instance.started_at_ms, now - item.gone_at]
+                for item in self._fleet.departures(service)
+                if item.ended_at is None
+            ],
         }
 
     def _handle_release(self, vm: str, body: dict[str, Any]) -> dict[str, Any]:
--- a/src/currantlead/sessions/instances/fleet.py
+++ b/src/currantlead/sessions/instances/fleet.py
@@ -82,7 +82,7 @@
         on_ordered: Called with service and instance when the promotion of an instance was ordered, or with an empty
             identity when commits are held back until then.
         on_symptom: Called with instance, symptom and reason when this VM itself saw that an instance may have failed.
-        find_domains_of_vms: Returns the failure domains with a VM that responds.
+        find_domains_of_vms: Returns the failure domains with a VM from which something was received just now.
     """
 
     def __init__(self, bounds: settings.Bounds, region_of: Mapping[str, str]):
@@ -225,10 +225,14 @@
         return self._departures.of(service, self._find_heard_domains)
 
     def _find_heard_domains(self) -> set[str]:
-        """Return the failure domains with a VM that responds, or with an instance that renews its entry."""
+        """Return the failure domains with a VM that is heard, or with an instance that renews its entry."""
         renewed = {tracked.instance.domain for tracked in self._instances.values() if tracked.lapsed_at is None}
         return renewed | self.find_domains_of_vms()
 
+    def ends(self, service: str) -> dict[tuple[str, int], float]:
+        """Return the departed replicas of a service that are known to have ended; see ``Departures.ends``."""
+        return self._departures.ends(service)
+
     def record_end(self, instance_id: str, started_at_ms: int, ended_at: float) -> None:
         """Record that the process of an instance that is gone was known to have ended at a clock reading."""
         self._departures.record_end(instance_id, started_at_ms, ended_at)
--- a/src/currantlead/sessions/instances/replacements.py
+++ b/src/currantlead/sessions/instances/replacements.py
@@ -11,6 +11,8 @@
 CUT_OFF_RETENTION_S = 3600.0
 """Time for which an instance that is gone is remembered while nothing in its failure domain is heard. Regions lose each
 other for minutes; a failure domain that was given up is forgotten."""
+NEWS_AGE_S = 5.0
+"""Age up to which news of a failure domain counts: several heartbeats of instances and exchanges between VMs."""
 
 HOLD_S = 1.0
 """Time after which commits that are held back for an order are sent again, because the VM that promotes has failed. The
@@ -27,8 +29,8 @@
         ended_at: Clock reading at which its process was known to have ended: another one has its identity, or nothing
             answered as this instance at its address. None if it may still receive commits; an entry disappears after a
             silence, too.
-        cut_off_at: Clock reading at which it had not ended and nothing in its failure domain was heard for the last
-            time, or ``gone_at``.
+        cut_off_at: Clock reading of the last look at which it was not known to have ended and nothing in its failure
+            domain was heard; negative infinity if there was none.
     """
 
     instance: model.Instance
@@ -42,32 +44,36 @@
 
     def is_recent(self, now: float) -> bool:
         """Return whether it still counts at a clock reading."""
-        return now - max(self.gone_at, min(self.cut_off_at, self.gone_at + CUT_OFF_RETENTION_S)) < DEPARTURE_RETENTION_S
+        cut_off_until = min(self.cut_off_at, self.gone_at + CUT_OFF_RETENTION_S)
+        return now - max(self.gone_at, cut_off_until) < DEPARTURE_RETENTION_S
 
 
 class Departures:
     """Remembers the replicas that are gone, which may have had the only copy of an acknowledged commit."""
 
     def __init__(self) -> None:
-        self._departures: list[Departure] = []
+        self._by_service: dict[str, list[Departure]] = {}
+        self._looked_at: dict[str, float] = {}
         self._since = clock.now()
 
     def record(self, instance: model.Instance, gone_at: float, ended_at: float | None = None) -> None:
         """Record that an instance is gone."""
-        self._departures.append(Departure(instance, gone_at, ended_at))
+        self._by_service.setdefault(instance.service, []).append(Departure(instance, gone_at, ended_at))
 
     def record_end(self, instance_id: str, started_at_ms: int, ended_at: float) -> None:
         """Record that the process of an instance that is gone was known to have ended at a clock reading."""
-        self._departures = [
-            dataclasses.replace(item, ended_at=ended_at)
-            if item.ended_at is None and item.is_of(instance_id, started_at_ms)
-            else item
-            for item in self._departures
-        ]
+        for service, items in self._by_service.items():
+            self._by_service[service] = [
+                dataclasses.replace(item, ended_at=ended_at)
+                if item.ended_at is None and item.is_of(instance_id, started_at_ms)
+                else item
+                for item in items
+            ]
 
     def forget(self, instance: model.Instance) -> None:
         """Forget that an instance was gone, because its entry is back."""
-        self._departures = [item for item in self._departures if not item.is_of(instance.id, instance.started_at_ms)]
+        items = self._by_service.get(instance.service, [])
+        items[:] = [item for item in items if not item.is_of(instance.id, instance.started_at_ms)]
 
     def complete_since(self) -> float | None:
         """Return the clock reading before which departures are not known, or None if all recent ones are."""
@@ -81,20 +87,35 @@
             find_heard_domains: Returns the failure domains in which something is heard, which so are not cut off.
         """
         now = clock.now()
-        found = [item for item in self._departures if item.instance.service == service]
-        if any(item.ended_at is None for item in found):
-            heard = find_heard_domains()
-            found = [
+        # What was heard before this VM was stalled is no news.
+        was_stalled = now - self._looked_at.get(service, now) > NEWS_AGE_S
+        self._looked_at[service] = now
+        items = self._by_service.get(service, [])
+        if any(item.ended_at is None for item in items):
+            heard = () if was_stalled else find_heard_domains()
+            items = [
                 item
                 if item.ended_at is not None or item.instance.domain in heard
                 else dataclasses.replace(item, cut_off_at=now)
-                for item in found
+                for item in items
             ]
-        found = [item for item in found if item.is_recent(now)]
-        others = [item for item in self._departures if item.instance.service != service]
-        # Nobody may ask for a service that is no longer configured.
-        self._departures = [item for item in others if now - item.gone_at < CUT_OFF_RETENTION_S] + found
-        return found
+        self._by_service[service] = [
+            item
+            for item in items
+            if item.is_recent(now) or (item.ended_at is not None and now - item.gone_at < CUT_OFF_RETENTION_S)
+        ]
+        return [item for item in items if item.is_recent(now)]
+
+    def ends(self, service: str) -> dict[tuple[str, int], float]:
+        """Return the instances that are known to have ended, by identity and start, with the clock reading of the end.
+
+        They are remembered for longer than they count, because other VMs may not know of their ends.
+        """
+        return {
+            (item.instance.id, item.instance.started_at_ms): item.ended_at
+            for item in self._by_service.get(service, ())
+            if item.ended_at is not None
+        }
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_commit_reports.py
+++ b/tests/test_commit_reports.py
@@ -114,3 +114,19 @@
     assert report.departed["i-4", 7] == pytest.approx(gone_at, abs=0.005)
     vms.fleets["vm-2"].record_end("i-4", 7, clock.now())
     assert not (await vms.collect()).departed
+
+
+async def test_end_is_told_for_longer_than_the_instance_counts(monkeypatch):
+    """Guards against counting, for an hour, an instance whose end only VMs know that no longer count it themselves."""
+    vms = Vms()
+    for vm in ("vm-2", "vm-3"):
+        vms.fleets[vm].update(REPLICA, clock.now())
+        vms.fleets[vm].remove("i-4")
+        vms.fleets[vm].get("i-4").lapsed_at -= fleet.LAPSE_GRACE_S + 1.0
+        vms.fleets[vm].remove_lapsed()
+    assert (await vms.collect()).departed
+    vms.fleets["vm-2"].record_end("i-4", 7, clock.now())
+    now = clock.now()
+    monkeypatch.setattr(clock, "now", lambda: now + 60.0)
+    assert not vms.fleets["vm-2"].departures(SERVICE) and vms.fleets["vm-3"].departures(SERVICE)
+    assert not (await vms.collect()).departed
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -159,7 +159,7 @@
     if ended:
         instances.record_end("i-2", PRIMARY.started_at_ms, now)
     gone_at = instances.departures("svc1")[0].gone_at
-    for seconds in range(10, int(age_s), 10):
+    for seconds in range(4, int(age_s), 4):
         monkeypatch.setattr(clock, "now", lambda at=gone_at + seconds: at)
         instances.departures("svc1")
     monkeypatch.setattr(clock, "now", lambda: gone_at + age_s)
@@ -173,10 +173,22 @@
     replica = dataclasses.replace(PRIMARY, id="i-2", role=model.Role.REPLICA, domain="z2")
     instances.update(replica, now)
     lapse(instances, "i-2")
-    monkeypatch.setattr(clock, "now", lambda: now + 60.0)
+    found = {}
+    for seconds in range(0, 90, 4):
+        if seconds == 60:
+            instances.update(dataclasses.replace(replica, id="i-3"), now)
+        monkeypatch.setattr(clock, "now", lambda at=now + seconds: at)
+        found[seconds] = bool(instances.departures("svc1"))
+    assert found[56] and found[72] and not found[84]
+
+
+def test_stalled_vm_forgets_no_instance(monkeypatch):
+    """Guards against LOST: what a VM heard of a failure domain before it was suspended says nothing about it now."""
+    now = clock.now()
+    instances = make_fleet()
+    instances.update(dataclasses.replace(PRIMARY, id="i-2", role=model.Role.REPLICA, domain="z2"), now)
+    instances.find_domains_of_vms = lambda: {"z2"}
+    lapse(instances, "i-2")
     assert instances.departures("svc1")
-    instances.update(dataclasses.replace(replica, id="i-3"), now + 60.0)
-    monkeypatch.setattr(clock, "now", lambda: now + 75.0)
+    monkeypatch.setattr(clock, "now", lambda: now + 60.0)
     assert instances.departures("svc1")
-    monkeypatch.setattr(clock, "now", lambda: now + 85.0)
-    assert not instances.departures("svc1")
