Count a primary whose process has ended as one that may lead again

A connection that is refused was taken for the end of the old primary for the rest of the attempt, and a promotion went on although VMs that were not told could give each other contact. The process may start again, still as the primary, and acknowledge their commits with a replica that starts. The exception is gone.

--- a/src/currantlead/sessions/decisions/promotion_choice.py
+++ b/src/currantlead/sessions/decisions/promotion_choice.py
@@ -70,7 +70,8 @@
         demoted: The old primary with its position, if it has confirmed that it leads no more, or None. Before anything
             is changed, its position at an earlier moment serves to explain what is missing.
         acknowledged: Bounds of the latest acknowledged commit that any VM has reported.
-        reported_since: Clock reading since which all VMs have kept account; infinite if one did not report.
+        reported_since: Clock reading since which all acknowledged commits are in the reports; infinite if too few VMs
+            reported.
         departed: Instances that are gone.
         ordered: Instance of an earlier order that may still take effect, or empty.
         looked_at: Clock reading of the positions and reports, in seconds.
--- a/src/currantlead/sessions/failover/promotion.py
+++ b/src/currantlead/sessions/failover/promotion.py
@@ -43,7 +43,8 @@
         reports: Collects the other VMs' reports on acknowledged commits.
         remote: Helps with instances through other VMs.
         calls: Records orders and calls for promotions.
-        find_contact_among: Returns which VMs may let others commit, if some did not report.
+        find_contact_among: Returns which of the VMs that were not told of the claim may give others of them contact;
+            called with those that did not report.
         on_stage: Called with the service when its promotion reaches a stage.
     """
 
@@ -89,7 +90,6 @@
         self._claimed_at = float("-inf")
         self._term = 0
         self._old_link: link.Link | None = None
-        self._has_old_ended = False
         self._links: dict[str, link.Link] = {}
         self._tried: list[model.Instance] = []
         self._paused: list[model.Instance] = []
@@ -155,9 +155,7 @@
         if self._old is None:
             return
         if self._connects:
-            links: dict[str, link.Link] = {}
-            refusals = await instance_commands.connect_all([self._old], links, self._tools.remote.make_room)
-            self._old_link, self._has_old_ended = links.get(self._old.id), bool(refusals.absent)
+            self._old_link = await instance_commands.connect(self._old, self._tools.remote.make_room)
         if self._old_link is None and self._reached_by is None:
             self._reached_by = await self._tools.remote.find_vms(self._old)
 
@@ -239,7 +237,7 @@
         A replica that starts meanwhile could acknowledge them, and nobody on this side might know of it.
         """
         partners = self._tools.find_contact_among(report.unanswered)
-        if self._has_old_ended or not partners:
+        if not partners:
             return ""
         return f"VMs that did not report may get contact from {', '.join(partners)} and go on with commits"
 
--- a/src/currantlead/sessions/failover/succession.py
+++ b/src/currantlead/sessions/failover/succession.py
@@ -41,7 +41,8 @@
         vm: Name of this VM.
         members: Returns the VMs that may promote, this one included.
         configured: Returns the services of the configuration; entries of instances may name others.
-        find_contact_among: Returns which VMs may let others commit, of those that did not report and the others.
+        find_contact_among: Returns which of the VMs that were not told of a claim may give others of them contact;
+            called with those that did not report.
         count_outcome: Called with the outcome of each attempt, for metrics.
         count_call: Called with the result of each promotion call, for metrics.
         on_stage: Called with the service when its promotion reaches a stage, on this VM or on another one.
