Keep one definition of contact partners, and of the broken contact in tests

map_partners repeated what select_partners did for one VM. The state machine tests share the way in which they take contact away, and the check that a schedule loses a commit. The test that compared the two definitions becomes one of the rule itself, and VMs above the number of 16 that are not asked have a test.

--- a/src/currantlead/sessions/decisions/vm_contact.py
+++ b/src/currantlead/sessions/decisions/vm_contact.py
@@ -52,43 +52,12 @@
     return holder_choice.rendezvous_weight("contact", member.name)
 
 
-def select_partners(
-    own: model.Member, members: Sequence[model.Member], region_of: Mapping[str, str]
-) -> list[model.Member]:
-    """Return the VMs that a VM asks for contact.
+def map_partners(members: Sequence[model.Member], region_of: Mapping[str, str]) -> dict[str, list[str]]:
+    """Return for each VM the names of those that it asks for contact.
 
     They are in other regions, because a region may be cut off as a whole. Without other regions they are in other
     failure domains, and without these any other VMs.
 
-    Args:
-        own: The VM.
-        members: All VMs.
-        region_of: Region of each failure domain.
-    """
-    region = region_of.get(own.domain, own.domain)
-    distant = [member for member in members if region_of.get(member.domain, member.domain) != region]
-    if distant:
-        return choose_partners(distant, region_of)
-    others = [member for member in members if member.name != own.name]
-    in_other_domains = [member for member in others if member.domain != own.domain]
-    return choose_partners(in_other_domains or others, {})
-
-
-def select_reporting(members: Sequence[model.Member], region_of: Mapping[str, str]) -> list[model.Member]:
-    """Return the VMs that report on commits in any case: all, or those that others ask for contact.
-
-    The VM of a caller knows the bounds of its commits better than a holder, and a holder may be gone.
-
-    Args:
-        members: All VMs.
-        region_of: Region of each failure domain.
-    """
-    return list(members) if len(members) <= MAX_REPORTING_VMS else choose_partners(members, region_of)
-
-
-def map_partners(members: Sequence[model.Member], region_of: Mapping[str, str]) -> dict[str, list[str]]:
-    """Return for each VM the names of those that it asks for contact, as ``select_partners`` does for one.
-
     Args:
         members: All VMs.
         region_of: Region of each failure domain.
@@ -109,6 +78,18 @@
     return {name: of_group[group] for name, group in groups.items()}
 
 
+def select_reporting(members: Sequence[model.Member], region_of: Mapping[str, str]) -> list[model.Member]:
+    """Return the VMs that report on commits in any case: all, or those that others ask for contact.
+
+    The VM of a caller knows the bounds of its commits better than a holder, and a holder may be gone.
+
+    Args:
+        members: All VMs.
+        region_of: Region of each failure domain.
+    """
+    return list(members) if len(members) <= MAX_REPORTING_VMS else choose_partners(members, region_of)
+
+
 def find_contact_among(silent: Collection[str], partners: Mapping[str, Collection[str]]) -> list[str]:
     """Return which of the VMs that were not told of a promotion may give another one of them contact.
 
--- a/src/currantlead/sessions/failover/contact_partners.py
+++ b/src/currantlead/sessions/failover/contact_partners.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable, Collection, Mapping
 
-from currantlead.sessions import model
 from currantlead.sessions.decisions import vm_contact
 from currantlead.sessions.membership import members
 
@@ -46,10 +45,11 @@
         return self._partners_by_vm
 
     def find_contact_among(self, unanswered: Collection[str]) -> list[str]:
-        """Return which VMs may give others contact that were not told of a promotion either.
+        """Return which of the VMs that were not told of a promotion may give others of them contact.
 
         Args:
-            unanswered: VMs that were asked for their reports and did not answer.
+            unanswered: VMs that were asked for their reports and did not answer. Those that were not asked and do not
+                respond were not told either.
         """
         asked = set(self.reporting())
         silent = {name for name in self._partners_by_vm if name not in asked and self._is_down(name)}
@@ -62,10 +62,6 @@
             return
         self._chosen_for = basis
         known = sorted(self._members.all(), key=lambda member: member.name)
-        self._partners = _names(vm_contact.select_partners(self._members.own, known, regions))
-        self._reporting = _names(vm_contact.select_reporting(known, regions))
         self._partners_by_vm = vm_contact.map_partners(known, regions)
-
-
-def _names(chosen: list[model.Member]) -> list[str]:
-    return [member.name for member in chosen]
+        self._partners = self._partners_by_vm[self._members.own.name]
+        self._reporting = [member.name for member in vm_contact.select_reporting(known, regions)]
--- a/tests/promotion_model.py
+++ b/tests/promotion_model.py
@@ -17,7 +17,7 @@
 from currantlead.peers import identity
 from currantlead.platform import objects
 from currantlead.sessions import clock, model, settings, statements
-from currantlead.sessions.decisions import acknowledgements
+from currantlead.sessions.decisions import acknowledgements, vm_contact
 from currantlead.sessions.failover import commit_contact, commit_records, commit_reports, remote_commands, succession
 from currantlead.sessions.instances import alarms, fleet, link
 from currantlead.sessions.shared import duty_claims, http
@@ -697,3 +697,15 @@
         """Check that no two VMs have called with the same number."""
         for token, callers in self.callers.items():
             assert len(callers) == 1, f"ONE: {sorted(callers)} called with the number {token}"
+
+
+def break_contact(patch):
+    """Let VMs send commits and pass successes on whatever the VMs of other regions say."""
+
+    async def pass_on(*_):
+        return True
+
+    patch.setattr(vm_contact.Contact, "covers", lambda *_: True)
+    patch.setattr(vm_contact.Contact, "allows", lambda *_: True)
+    # The record of a commit is a contact, too.
+    patch.setattr(commit_contact.CommitContact, "confirm", pass_on)
--- a/tests/test_commit_contact.py
+++ b/tests/test_commit_contact.py
@@ -133,9 +133,9 @@
 def test_partners_are_in_other_regions():
     """A region may be cut off as a whole, so that VMs of the same region prove nothing."""
     vms = [member("vm-1", "z1"), member("vm-2", "z2"), member("vm-3", "z3"), member("vm-4", "z4")]
-    assert {item.name for item in vm_contact.select_partners(vms[0], vms, REGIONS)} == {"vm-3", "vm-4"}
-    assert [item.name for item in vm_contact.select_partners(vms[0], vms[:2], REGIONS)] == ["vm-2"]
-    assert vm_contact.select_partners(vms[0], vms[:1], REGIONS) == []
+    assert set(vm_contact.map_partners(vms, REGIONS)["vm-1"]) == {"vm-3", "vm-4"}
+    assert vm_contact.map_partners(vms[:2], REGIONS)["vm-1"] == ["vm-2"]
+    assert vm_contact.map_partners(vms[:1], REGIONS) == {"vm-1": []}
 
 
 def test_partners_of_all_vms_are_among_the_chosen_ones():
@@ -143,20 +143,42 @@
     vms = [member(f"vm-{number}", f"z{number % 4 + 1}") for number in range(40)]
     chosen = {item.name for item in vm_contact.select_reporting(vms, REGIONS)}
     assert len(chosen) == 3 * vm_contact.PARTNERS_PER_GROUP
-    for own in vms:
-        assert {item.name for item in vm_contact.select_partners(own, vms, REGIONS)} <= chosen
+    for partners in vm_contact.map_partners(vms, REGIONS).values():
+        assert set(partners) <= chosen
 
 
 @pytest.mark.parametrize(
-    "domains", [["z1", "z2", "z3", "z4"] * 5, ["z1", "z2", "z2", "z9"], ["z1", "z2"], ["z1"] * 5, ["z1"]]
+    ("domains", "groups", "count"),
+    [
+        (["z1", "z2", "z3", "z4"] * 5, REGIONS, 4),
+        (["z1", "z2", "z2", "z1"], {"z1": "z1", "z2": "z2"}, 2),
+        (["z1", "z2"], {"z1": "z1", "z2": "z2"}, 1),
+    ],
 )
-def test_all_vms_know_the_partners_of_each(domains):
-    """Guards against a promotion that counts on a record at a VM that was never asked for it."""
+def test_partners_are_in_other_groups(domains, groups, count):
+    """Without other regions, VMs of other failure domains are asked; up to two of each."""
     vms = [member(f"vm-{number}", domain) for number, domain in enumerate(domains)]
-    expected = {own.name: [item.name for item in vm_contact.select_partners(own, vms, REGIONS)] for own in vms}
-    assert {vm: sorted(names) for vm, names in vm_contact.map_partners(vms, REGIONS).items()} == {
-        vm: sorted(names) for vm, names in expected.items()
-    }
+    domain_of = {item.name: item.domain for item in vms}
+    for vm, partners in vm_contact.map_partners(vms, REGIONS).items():
+        assert groups[domain_of[vm]] not in [groups[domain_of[name]] for name in partners]
+        assert len(set(partners)) == (count if groups is not REGIONS or groups[domain_of[vm]] != "r1" else 4)
+
+
+def test_vms_of_one_domain_ask_each_other():
+    """A VM is never its own partner."""
+    partners = vm_contact.map_partners([member(f"vm-{number}", "z1") for number in range(5)], REGIONS)
+    assert all(len(set(names)) == 2 and vm not in names for vm, names in partners.items())
+
+
+def test_vm_that_was_not_asked_and_does_not_respond_counts_as_not_told():
+    """Above 16 VMs not all are asked for reports; one on the other side of a cut may have contact with a partner."""
+    known, down = members.Members(member("vm-0", "z1")), set()
+    known.update([member(f"vm-{number}", f"z{number % 4 + 1}") for number in range(1, 40)], ())
+    chosen = contact_partners.ContactPartners(known, lambda: REGIONS, down.__contains__)
+    partner = next(name for name in chosen.reporting() if REGIONS[known.get(name).domain] == "r2")
+    assert chosen.find_contact_among([partner]) == []
+    down.add(next(item.name for item in known.all() if item.domain == "z4" and item.name not in chosen.reporting()))
+    assert chosen.find_contact_among([partner]) == [partner]
 
 
 @pytest.mark.parametrize(
@@ -384,6 +406,19 @@
     assert not await case.contact.confirm(commit, LOG_END)
 
 
+async def test_success_is_in_doubt_if_this_vm_stalls_while_it_is_recorded(case, monkeypatch):
+    """Guards against LOST: meanwhile another instance may have been promoted, and the order be closed again."""
+    case.answer(generation=5)
+    commit = await send(case)
+
+    async def answer_after_a_stall(vm, kind, body, *, timeout_s):
+        time.sleep(vm_contact.AGE_LIMIT_S + 0.05)  # noqa: ASYNC251
+        return {"ordered": {}, "generation": 6}
+
+    monkeypatch.setattr(case.peers, "request", answer_after_a_stall)
+    assert not await case.contact.confirm(commit, LOG_END)
+
+
 async def test_records_that_wait_for_a_write_go_together_in_the_next():
     """Guards against one write to the store for each commit of a busy service."""
     store = Records()
@@ -405,9 +440,6 @@
     with pytest.raises(errors.PlatformUnavailableError):
         await records.record(SERVICE, acknowledgements.Acknowledged(at_most=model.Position(1, 50)))
 
-    async def answer_after_a_stall(vm, kind, body, *, timeout_s):
-        time.sleep(vm_contact.AGE_LIMIT_S + 0.05)  # noqa: ASYNC251
-        return {"ordered": {}, "generation": 6}
 
 async def test_record_is_written_again_after_the_store_was_restored():
     """Guards against trusting a record that this VM wrote before, which a restored store no longer has."""
@@ -419,7 +451,19 @@
     assert store.at_most == LOG_END
 
 
+@pytest.mark.parametrize(
+    "value",
+    [{"at_least": 3}, [], {"at_least": [1, 10**30], "at_most": [1, 10**30]}, {"at_least": [1, 2], "at_most": [1]}],
+)
+async def test_odd_record_of_another_writer_is_replaced(value):
+    """Guards against commits that stay in doubt because a record cannot be read."""
+    store = Records()
+    store.stored = objects.StoredObject(SERVICE, 50, value)
+    records = commit_records.CommitRecords(store)
+    with pytest.raises(errors.MalformedObjectError):
         await records.read(SERVICE)
+    await records.record(SERVICE, acknowledgements.Acknowledged(at_most=LOG_END))
+    assert store.at_most == LOG_END
 
 
 async def test_malformed_answer_is_no_contact(case):
@@ -451,16 +495,6 @@
 async def test_refresh_reads_the_claim_of_another_vm():
     """A VM without contact learns of a claim from the store."""
 
-@pytest.mark.parametrize(
-    "value",
-    [{"at_least": 3}, [], {"at_least": [1, 10**30], "at_most": [1, 10**30]}, {"at_least": [1, 2], "at_most": [1]}],
-)
-async def test_odd_record_of_another_writer_is_replaced(value):
-    """Guards against commits that stay in doubt because a record cannot be read."""
-    store = Records()
-    store.stored = objects.StoredObject(SERVICE, 50, value)
-    records = commit_records.CommitRecords(store)
-    with pytest.raises(errors.MalformedObjectError):
     class Store:
         async def read(self, kind, name):
             return None
--- a/tests/test_region_machine.py
+++ b/tests/test_region_machine.py
@@ -7,8 +7,8 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from currantlead.sessions.decisions import acknowledgements, promotion_choice, vm_contact
-from currantlead.sessions.failover import commit_contact, promotion
+from currantlead.sessions.decisions import acknowledgements, promotion_choice
+from currantlead.sessions.failover import promotion
 from currantlead.sessions.instances import replacements
 from tests import promotion_model
 
@@ -134,16 +134,6 @@
 TestRecoveryMachine.settings = SETTINGS
 
 
-def _need_no_contact(patch):
-    async def pass_on(*_):
-        return True
-
-    patch.setattr(vm_contact.Contact, "covers", lambda *_: True)
-    patch.setattr(vm_contact.Contact, "allows", lambda *_: True)
-    # The record of a commit is a contact, too.
-    patch.setattr(commit_contact.CommitContact, "confirm", pass_on)
-
-
 def _take_removed_entries_for_ends(patch):
     record = replacements.Departures.record
 
@@ -163,6 +153,13 @@
     patch.setattr(promotion_choice, "explain_missing", explain)
 
 
+def _play(schedule, seeds, *, loses):
+    """Play a schedule with several seeds; with a fault put back, one of them has to lose a commit."""
+    with pytest.raises(AssertionError, match="LOST") if loses else contextlib.nullcontext():
+        for seed in seeds:
+            schedule(seed)
+
+
 def _lose_a_draining_replica_of_a_quiet_service(seed):
     machine = RegionMachine()
     machine.start(seed=seed, settled=True)
@@ -183,9 +180,7 @@
         _take_removed_entries_for_ends(monkeypatch)
         # The reports that a promotion needs with a demoted primary would show the commit, too.
         _take_known_replicas_for_all(monkeypatch)
-    with pytest.raises(AssertionError, match="LOST") if is_broken else contextlib.nullcontext():
-        for seed in range(40):
-            _lose_a_draining_replica_of_a_quiet_service(seed)
+    _play(_lose_a_draining_replica_of_a_quiet_service, range(40), loses=is_broken)
 
 
 def _cut_off_region_for_half_a_minute(seed):
@@ -227,9 +222,7 @@
     """
     if is_broken:
         _record_nothing(monkeypatch)
-    with pytest.raises(AssertionError, match="LOST") if is_broken else contextlib.nullcontext():
-        for seed in range(12):
-            _cut_off_region_for_half_a_minute(seed)
+    _play(_cut_off_region_for_half_a_minute, range(12), loses=is_broken)
 
 
 def _lose_region(seed):
@@ -288,15 +281,13 @@
     """
     if is_broken:
         monkeypatch.setattr(promotion.Promotion, "_find_unnoticed_commits", lambda *_: "")
-    with pytest.raises(AssertionError, match="LOST") if is_broken else contextlib.nullcontext():
-        for seed in range(40):
-            _split_across_regions(seed)
+    _play(_split_across_regions, range(40), loses=is_broken)
 
 
 @pytest.mark.timeout(400)
 def test_state_machine_detects_commits_without_contact(monkeypatch):
     """Guards against a state machine test that passes because its schedules never reach the fault."""
-    _need_no_contact(monkeypatch)
+    promotion_model.break_contact(monkeypatch)
     monkeypatch.setattr(promotion_model.World, "check", promotion_model.World.check_promotions)
     settings = hypothesis.settings(
         stateful_step_count=15,
--- a/tests/test_succession_machine.py
+++ b/tests/test_succession_machine.py
@@ -6,8 +6,7 @@
 from hypothesis import strategies as st
 
 from currantlead.platform import calls, lines
-from currantlead.sessions.decisions import promotion_choice, vm_contact
-from currantlead.sessions.failover import commit_contact
+from currantlead.sessions.decisions import promotion_choice
 from currantlead.sessions.instances import fleet
 from tests import promotion_model
 
@@ -311,20 +310,10 @@
     return build(service, instance_id, holder, 1)
 
 
-def _need_no_contact(patch):
-    async def pass_on(*_):
-        return True
-
-    patch.setattr(vm_contact.Contact, "covers", lambda *_: True)
-    patch.setattr(vm_contact.Contact, "allows", lambda *_: True)
-    # The record of a commit is a contact, too.
-    patch.setattr(commit_contact.CommitContact, "confirm", pass_on)
-
-
 def _pass_on_while_an_order_is_recorded(patch):
     """Let VMs take commits until they learn of the order; contact with the VM that holds them back would tell them."""
     patch.setattr(fleet.Fleet, "hold_commits", lambda *_: None)
-    _need_no_contact(patch)
+    promotion_model.break_contact(patch)
 
 
 BROKEN_RULES = {
@@ -338,7 +327,7 @@
         _overlap_with_late_calls,
         _pass_on_while_an_order_is_recorded,
     ),
-    "commits need no contact": ("LOST", _only_a_vm_without_contact_reaches_the_primary, _need_no_contact),
+    "commits need no contact": ("LOST", _only_a_vm_without_contact_reaches_the_primary, promotion_model.break_contact),
     "calls are not numbered": (
         "ONE",
         _overlap_with_late_calls,
