--- a/src/currantlead/sessions/decisions/acknowledgements.py
+++ b/src/currantlead/sessions/decisions/acknowledgements.py
@@ -98,13 +98,11 @@
             if it did not report.
         partners: For each VM those that may have recorded its commits. All others may have for a VM without an entry.
     """
-    latest_first = sorted(up_since, key=up_since.__getitem__, reverse=True)
     since = float("-inf")
     for vm, up in up_since.items():
-        recording = partners.get(vm)
-        if recording is None:
-            recording = [other for other in latest_first[:2] if other != vm][:1]
-        since = max(since, min(up, max((up_since.get(other, float("inf")) for other in recording), default=up)))
+        recording = partners[vm] if vm in partners else up_since.keys() - {vm}
+        latest_start = max((up_since.get(other, float("inf")) for other in recording), default=up)
+        since = max(since, min(up, latest_start))
     return since
 
 
